--- /dev/null
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks; each prints one JSON line a figure. */
+package org.primrosegauge.bench;
--- /dev/null
+++ b/primrosegauge-cli/src/main/java/org/primrosegauge/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of primrosegauge. */
+package org.primrosegauge.cli;
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/JobId.java
@@ -0,0 +1,37 @@
+package org.primrosegauge.core;
+
+/**
+ * Identifies a job.
+ *
+ * @param value well-formed id, see {@link Names}
+ * @since 0.1
+ */
+public record JobId(String value) implements Comparable<JobId> {
+
+  /** Checks the syntax. */
+  public JobId {
+    Names.require("job", value);
+  }
+
+  /**
+   * Reads an id received from outside.
+   *
+   * @param text text to read
+   * @param location where the text was found, for the error
+   * @throws InvalidInputException when the text is no id
+   * @since 0.1
+   */
+  public static JobId parse(String text, String location) throws InvalidInputException {
+    return new JobId(Names.parse("job", text, location));
+  }
+
+  @Override
+  public int compareTo(JobId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/RequestId.java
@@ -0,0 +1,37 @@
+package org.primrosegauge.core;
+
+/**
+ * Identifies one request of a caller.
+ *
+ * @param value well-formed id, see {@link Names}
+ * @since 0.1
+ */
+public record RequestId(String value) implements Comparable<RequestId> {
+
+  /** Checks the syntax. */
+  public RequestId {
+    Names.require("request", value);
+  }
+
+  /**
+   * Reads an id received from outside.
+   *
+   * @param text text to read
+   * @param location where the text was found, for the error
+   * @throws InvalidInputException when the text is no id
+   * @since 0.1
+   */
+  public static RequestId parse(String text, String location) throws InvalidInputException {
+    return new RequestId(Names.parse("request", text, location));
+  }
+
+  @Override
+  public int compareTo(RequestId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/site/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The site as operators configure it: regions, failure domains, customers, guarantees, services.
+ */
+package org.primrosegauge.core.site;
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/NamesTest.java
@@ -0,0 +1,25 @@
+package org.primrosegauge.core;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class NamesTest {
+
+  @ParameterizedTest
+  @ValueSource(strings = {"klang", "lakes-west", "a", "9", "kutipan-core.v2_x"})
+  void acceptsIds(String text) throws InvalidInputException {
+    assertThat(CustomerId.parse(text, "here").value()).isEqualTo(text);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "-a", "A", "a b", "a/b", "../x", "é"})
+  void refusesOthersAndNamesPlaceAndRemedy(String text) {
+    InvalidInputException error =
+        assertThrows(InvalidInputException.class, () -> CustomerId.parse(text, "site.toml:3"));
+    assertThat(error).hasMessageThat().contains("site.toml:3");
+    assertThat(error).hasMessageThat().contains("remedy: use 1 to 64 characters");
+  }
+}
--- /dev/null
+++ b/primrosegauge-wire/src/main/java/org/primrosegauge/wire/package-info.java
@@ -0,0 +1,2 @@
+/** MessagePack frames and JSON mapping of the messages that primrosegauge processes exchange. */
+package org.primrosegauge.wire;
