Settings: key tables, checked TOML of an instance and of a site

Cause: an instance and a site need settings whose faults are all named at once, with file, line, key and remedy; the model had no reader and no check.

Ruled out: jackson-dataformat-toml, which gives no line for a parsed key; annotations on the records, since a key table as data also feeds the settings page; an exact search for packing guarantees of any size (NP-hard).

Change: SettingKey tables, Quantities and SettingsException in core.settings; SiteValidator and ShapePacking in core.site, checked against a naive search (jqwik seeds 4101 and 4102, 3,000 tries each); TOML reader and writer in wire.toml; NodeSettings and its reader in node.cfg; docs/SETTINGS.md, which a test compares with the tables. SiteConfiguration sorts its lists, as its documentation says.

Packing is exact for sizes that divide each other and cautious for others. When other faults are present, the checks of capacity and quota wait for a run without them.

--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/site/ShapePackingTest.java
@@ -0,0 +1,148 @@
+package org.primrosegauge.core.site;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.RegionId;
+
+class ShapePackingTest {
+
+  @ParameterizedTest
+  @CsvSource({
+    "1, 48, RACK, true",
+    "2, 32, RACK, true",
+    "3, 32, RACK, false",
+    "10, 8, WORKER, true",
+    "11, 8, WORKER, false",
+    "1, 80, DOMAIN, true",
+    "1, 81, DOMAIN, false"
+  })
+  void packsIntoRacksOfSixAndFour(int blocks, int size, Adjacency adjacency, boolean expected) {
+    FailureDomain klang = domain(10, 6, 8);
+
+    assertThat(ShapePacking.fits(klang, List.of(new BlockShape(blocks, size, adjacency))))
+        .isEqualTo(expected);
+  }
+
+  @Property(seed = "4101", tries = 3_000)
+  void isExactForDivisibleSizes(
+      @ForAll @IntRange(min = 1, max = 4) int workers,
+      @ForAll @IntRange(min = 1, max = 3) int workersPerRack,
+      @ForAll("divisibleShapes") @Size(max = 4) List<BlockShape> shapes) {
+    FailureDomain domain = domain(workers, workersPerRack, 4);
+
+    assertThat(ShapePacking.fits(domain, shapes)).isEqualTo(fitsNaively(domain, shapes));
+  }
+
+  @Property(seed = "4102", tries = 3_000)
+  void neverAcceptsWhatCannotBePacked(
+      @ForAll @IntRange(min = 1, max = 4) int workers,
+      @ForAll @IntRange(min = 1, max = 3) int workersPerRack,
+      @ForAll("anyShapes") @Size(max = 4) List<BlockShape> shapes) {
+    FailureDomain domain = domain(workers, workersPerRack, 5);
+
+    if (ShapePacking.fits(domain, shapes)) {
+      assertThat(fitsNaively(domain, shapes)).isTrue();
+    }
+  }
+
+  @Provide
+  Arbitrary<List<BlockShape>> divisibleShapes() {
+    return shapes(Arbitraries.of(1, 2, 4, 8)).list();
+  }
+
+  @Provide
+  Arbitrary<List<BlockShape>> anyShapes() {
+    return shapes(Arbitraries.integers().between(1, 9)).list();
+  }
+
+  private static Arbitrary<BlockShape> shapes(Arbitrary<Integer> sizes) {
+    return Combinators.combine(
+            Arbitraries.integers().between(1, 2), sizes, Arbitraries.of(Adjacency.class))
+        .as(BlockShape::new)
+        .filter(shape -> shape.adjacency() != Adjacency.WORKER || shape.acceleratorsPerBlock() < 5);
+  }
+
+  /** Tries every placement of worker blocks in workers and of rack blocks in racks. */
+  private static boolean fitsNaively(FailureDomain domain, List<BlockShape> shapes) {
+    List<BlockShape> blocks = new ArrayList<>();
+    for (BlockShape shape : shapes) {
+      BlockShape one = new BlockShape(1, shape.acceleratorsPerBlock(), shape.adjacency());
+      blocks.addAll(Collections.nCopies(shape.blocks(), one));
+    }
+    int[] free = new int[domain.workers()];
+    java.util.Arrays.fill(free, domain.acceleratorsPerWorker());
+    int racks = (domain.workers() - 1) / domain.workersPerRack() + 1;
+    return search(domain, blocks, 0, free, new int[racks]);
+  }
+
+  private static boolean search(
+      FailureDomain domain, List<BlockShape> blocks, int index, int[] free, int[] inRack) {
+    if (index == blocks.size()) {
+      return holds(domain, blocks, free, inRack);
+    }
+    int size = blocks.get(index).acceleratorsPerBlock();
+    int[] places =
+        switch (blocks.get(index).adjacency()) {
+          case WORKER -> free;
+          case RACK -> inRack;
+          case DOMAIN -> new int[1];
+        };
+    int step = places == inRack ? size : -size;
+    for (int place = 0; place < places.length; place++) {
+      places[place] += step;
+      boolean found =
+          (places != free || free[place] >= 0) && search(domain, blocks, index + 1, free, inRack);
+      places[place] -= step;
+      if (found) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean holds(
+      FailureDomain domain, List<BlockShape> blocks, int[] free, int[] inRack) {
+    int[] left = new int[inRack.length];
+    for (int worker = 0; worker < free.length; worker++) {
+      left[worker / domain.workersPerRack()] += free[worker];
+    }
+    int total = 0;
+    for (int rack = 0; rack < left.length; rack++) {
+      if (inRack[rack] > left[rack]) {
+        return false;
+      }
+      total += left[rack] - inRack[rack];
+    }
+    int wide =
+        blocks.stream()
+            .filter(block -> block.adjacency() == Adjacency.DOMAIN)
+            .mapToInt(BlockShape::accelerators)
+            .sum();
+    return wide <= total;
+  }
+
+  private static FailureDomain domain(int workers, int workersPerRack, int accelerators) {
+    return new FailureDomain(
+        new FailureDomainId("klang"),
+        new RegionId("semenanjung"),
+        workers,
+        workersPerRack,
+        accelerators,
+        64,
+        256_000);
+  }
+}
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of one instance and their reader. */
+package org.primrosegauge.node.cfg;
