--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/keeper/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the keeper's lease. */
+package org.primrosegauge.core.keeper.cfg;
