--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the replicated log. */
+package org.primrosegauge.core.log.cfg;
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Replicator.java
@@ -0,0 +1,93 @@
+package org.primrosegauge.core.log.impl;
+
+import java.util.List;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.log.LogEntry;
+import org.primrosegauge.core.log.LogIndex;
+import org.primrosegauge.core.log.LogMessage.AppendRequest;
+import org.primrosegauge.core.log.LogMessage.SnapshotChunk;
+import org.primrosegauge.core.log.LogSnapshot;
+
+/**
+ * Sends entries and snapshots to followers, with a bound on what is in flight to each.
+ *
+ * <p>A follower that does not answer gets heartbeats only: entries follow once a heartbeat has
+ * found where its log matches.
+ *
+ * <p>Single-threaded; lives as long as its leader.
+ */
+final class Replicator {
+
+  private final ReplicaContext context;
+
+  Replicator(ReplicaContext context) {
+    this.context = context;
+  }
+
+  /** Sends a request without entries. */
+  void heartbeat(InstanceId to, FollowerProgress progress, long nowMillis) {
+    long previous = Math.max(progress.next() - 1, context.log().baseIndex());
+    append(to, previous, List.of(), nowMillis);
+  }
+
+  /** Sends what the follower lacks, as far as the bound allows. */
+  void send(InstanceId to, FollowerProgress progress, long nowMillis) {
+    if (progress.snapshot() != null) {
+      sendChunk(to, progress, nowMillis);
+    } else if (progress.storage() != null
+        && progress.next() <= context.log().baseIndex()
+        && context.log().snapshot() != null) {
+      progress.startSnapshot(context.log().snapshot());
+      sendChunk(to, progress, nowMillis);
+    } else if (!progress.isProbing()) {
+      sendEntries(to, progress, nowMillis);
+    }
+  }
+
+  private void sendEntries(InstanceId to, FollowerProgress progress, long nowMillis) {
+    int window = context.settings().maxInFlightBytes();
+    while (progress.next() <= context.log().lastIndex() && progress.inFlightBytes() < window) {
+      long previous = progress.next() - 1;
+      List<LogEntry> entries = context.log().batch(previous, context.settings().maxBatchBytes());
+      append(to, previous, entries, nowMillis);
+      int bytes = entries.stream().mapToInt(LogEntry::sizeBytes).sum();
+      progress.sent(previous + entries.size(), bytes);
+    }
+  }
+
+  private void append(InstanceId to, long previous, List<LogEntry> entries, long nowMillis) {
+    Term previousTerm = context.log().termAt(previous);
+    AppendRequest request =
+        new AppendRequest(
+            context.term(),
+            context.self().storage(),
+            new LogIndex(previous),
+            previousTerm,
+            new LogIndex(context.committed()),
+            nowMillis,
+            entries);
+    context.outbox().send(to, request);
+  }
+
+  private void sendChunk(InstanceId to, FollowerProgress progress, long nowMillis) {
+    if (nowMillis < progress.chunkSentMillis() + context.settings().electionMinMillis()) {
+      return;
+    }
+    LogSnapshot whole = progress.snapshot();
+    int offset = progress.snapshotOffset();
+    byte[] part = Follower.part(whole.state(), offset, context.settings().snapshotChunkBytes());
+    LogSnapshot head =
+        new LogSnapshot(whole.index(), whole.term(), whole.logMillis(), whole.membership(), part);
+    SnapshotChunk chunk =
+        new SnapshotChunk(
+            context.term(),
+            context.self().storage(),
+            head,
+            offset,
+            whole.state().length,
+            nowMillis);
+    context.outbox().send(to, chunk);
+    progress.chunkSent(nowMillis);
+  }
+}
