Registry: accepted configuration, switches, keepers, claims and job records

Cause: operators race and resend after lost answers; an accepted revision must never go back. Ruled out: telling a resent change by its content alone, because a change and its undo may legitimately be sent twice; wall-clock expiry, because replicas would drop entries at different times. Conclusion: ready for the node to serialise and apply.

--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/CommandFingerprint.java
@@ -0,0 +1,31 @@
+package org.primrosegauge.core.registry;
+
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.registry.RegistryCommand.ApplyConfiguration;
+import org.primrosegauge.core.registry.RegistryCommand.OperatorCommand;
+import org.primrosegauge.core.registry.RegistryCommand.SwitchDomain;
+import org.primrosegauge.core.site.DomainSwitch;
+
+/**
+ * What makes a repeated command the same one.
+ *
+ * @param expectedRevision revision that a configuration replaces; null for a domain switch
+ * @param digest digest of a configuration's content; the empty digest for a domain switch
+ * @param order order of a domain switch; null for a configuration
+ * @since 0.1
+ */
+public record CommandFingerprint(
+    Revision expectedRevision, ContentDigest digest, DomainSwitch order) {
+
+  /**
+   * Returns the fingerprint of a command.
+   *
+   * @since 0.1
+   */
+  public static CommandFingerprint of(OperatorCommand command) {
+    if (command instanceof ApplyConfiguration apply) {
+      return new CommandFingerprint(apply.expectedRevision(), apply.digest(), null);
+    }
+    return new CommandFingerprint(null, ContentDigest.EMPTY, ((SwitchDomain) command).order());
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/ConfigurationRegistry.java
@@ -0,0 +1,209 @@
+package org.primrosegauge.core.registry;
+
+import java.util.List;
+import java.util.Optional;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.registry.RegistryCommand.AcquireKeeper;
+import org.primrosegauge.core.registry.RegistryCommand.ApplyConfiguration;
+import org.primrosegauge.core.registry.RegistryCommand.OperatorCommand;
+import org.primrosegauge.core.registry.RegistryCommand.PutClaim;
+import org.primrosegauge.core.registry.RegistryCommand.PutJob;
+import org.primrosegauge.core.registry.RegistryCommand.RenewKeeper;
+import org.primrosegauge.core.registry.RegistryCommand.SwitchDomain;
+import org.primrosegauge.core.registry.cfg.RegistrySettings;
+import org.primrosegauge.core.registry.impl.AnswerStore;
+import org.primrosegauge.core.registry.impl.ClaimStore;
+import org.primrosegauge.core.registry.impl.ConfigurationStore;
+import org.primrosegauge.core.registry.impl.JobStore;
+import org.primrosegauge.core.registry.impl.KeeperStore;
+import org.primrosegauge.core.site.DomainSwitch;
+
+/**
+ * The state that the replicated log keeps. It is deterministic: equal commands at equal log times
+ * give equal states and results.
+ *
+ * <p>An operator's command is answered once for each request id: the same command sent again gets
+ * the first answer, also after a restart or an election, because the answers are part of the state.
+ *
+ * <p>Single-threaded. It lives as long as its replica; {@link #restore} starts it anew.
+ *
+ * @since 0.1
+ */
+public final class ConfigurationRegistry {
+
+  private final RegistrySettings settings;
+  private ConfigurationStore configuration;
+  private AnswerStore answers;
+  private KeeperStore keepers;
+  private ClaimStore claims;
+  private JobStore jobs;
+  private long logMillis;
+
+  // Life-cycle
+
+  /**
+   * Creates the registry of a new site.
+   *
+   * @since 0.1
+   */
+  public ConfigurationRegistry(RegistrySettings settings) {
+    this.settings = settings;
+    restore(RegistrySnapshot.EMPTY);
+  }
+
+  /**
+   * Replaces the whole state.
+   *
+   * @since 0.1
+   */
+  public void restore(RegistrySnapshot snapshot) {
+    logMillis = snapshot.logMillis();
+    configuration = new ConfigurationStore(settings, snapshot);
+    answers = new AnswerStore(settings, snapshot);
+    keepers = new KeeperStore(snapshot);
+    claims = new ClaimStore(settings, snapshot);
+    jobs = new JobStore(settings, snapshot);
+  }
+
+  /**
+   * Returns the whole state.
+   *
+   * @since 0.1
+   */
+  public RegistrySnapshot snapshot() {
+    return new RegistrySnapshot(
+        logMillis,
+        configuration.accepted(),
+        configuration.history(),
+        answers.answers(),
+        configuration.switches(),
+        keepers.offices(),
+        claims.claims(),
+        jobs.jobs());
+  }
+
+  // Accessors
+
+  /**
+   * Returns the latest log time, in milliseconds.
+   *
+   * @since 0.1
+   */
+  public long logMillis() {
+    return logMillis;
+  }
+
+  /**
+   * Returns the accepted configuration.
+   *
+   * @since 0.1
+   */
+  public AcceptedConfiguration accepted() {
+    return configuration.accepted();
+  }
+
+  /**
+   * Returns the accepted changes, oldest first.
+   *
+   * @since 0.1
+   */
+  public List<HistoryEntry> history() {
+    return configuration.history();
+  }
+
+  /**
+   * Returns the orders in force, by domain.
+   *
+   * @since 0.1
+   */
+  public List<DomainSwitch> switches() {
+    return configuration.switches();
+  }
+
+  /**
+   * Returns the office of a domain's keeper, if it ever had one.
+   *
+   * @since 0.1
+   */
+  public Optional<KeeperOffice> keeper(FailureDomainId domain) {
+    return Optional.ofNullable(keepers.find(domain));
+  }
+
+  /**
+   * Returns the claim of a key, if it has one.
+   *
+   * @since 0.1
+   */
+  public Optional<Claim> claim(ContentDigest key) {
+    return Optional.ofNullable(claims.find(key));
+  }
+
+  /**
+   * Returns the record of a job, if it has one.
+   *
+   * @since 0.1
+   */
+  public Optional<JobRecord> job(JobId job) {
+    return Optional.ofNullable(jobs.find(job));
+  }
+
+  /**
+   * Returns all job records, by job.
+   *
+   * @since 0.1
+   */
+  public List<JobRecord> jobs() {
+    return jobs.jobs();
+  }
+
+  // Main API
+
+  /**
+   * Applies a command.
+   *
+   * @param command command
+   * @param entryLogMillis log time of its entry, in milliseconds
+   * @since 0.1
+   */
+  public RegistryResult apply(RegistryCommand command, long entryLogMillis) {
+    logMillis = Math.max(logMillis, entryLogMillis);
+    expire();
+    if (command instanceof OperatorCommand operatorCommand) {
+      return answerOnce(operatorCommand);
+    } else if (command instanceof PutClaim put) {
+      return claims.apply(put, logMillis);
+    } else if (command instanceof AcquireKeeper acquire) {
+      return keepers.apply(acquire, logMillis);
+    } else if (command instanceof RenewKeeper renew) {
+      return keepers.apply(renew, logMillis);
+    }
+    return jobs.apply((PutJob) command, logMillis);
+  }
+
+  // Internals
+
+  private RegistryResult answerOnce(OperatorCommand command) {
+    RegistryResult first = answers.find(command);
+    if (first != null) {
+      return first;
+    }
+    RegistryResult result = execute(command);
+    answers.record(command, result, logMillis);
+    answers.expire(logMillis);
+    return result;
+  }
+
+  private RegistryResult execute(OperatorCommand command) {
+    if (command instanceof ApplyConfiguration apply) {
+      return configuration.apply(apply, logMillis);
+    }
+    return configuration.apply(((SwitchDomain) command).order());
+  }
+
+  private void expire() {
+    answers.expire(logMillis);
+    claims.expire(logMillis);
+    jobs.expire(logMillis);
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistryCommand.java
@@ -0,0 +1,160 @@
+package org.primrosegauge.core.registry;
+
+import java.util.Objects;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.RequestId;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.site.DomainSwitch;
+
+/**
+ * Command of the replicated log. Commands carry no time: they are applied at the log time of their
+ * entry.
+ *
+ * @since 0.1
+ */
+public sealed interface RegistryCommand {
+
+  /**
+   * Command of an operator, answered once for each request id.
+   *
+   * @since 0.1
+   */
+  sealed interface OperatorCommand extends RegistryCommand {
+
+    /**
+     * Returns the request id, chosen by the operator.
+     *
+     * @since 0.1
+     */
+    RequestId requestId();
+  }
+
+  /**
+   * Replaces the configuration. The content must be validated before it is proposed.
+   *
+   * @param requestId operator's request id
+   * @param expectedRevision revision that this replaces
+   * @param digest digest of the content
+   * @param content whole configuration as TOML text
+   * @param operator who asks
+   * @since 0.1
+   */
+  record ApplyConfiguration(
+      RequestId requestId,
+      Revision expectedRevision,
+      ContentDigest digest,
+      String content,
+      String operator)
+      implements OperatorCommand {
+
+    /** Checks that all parts are present. */
+    public ApplyConfiguration {
+      Objects.requireNonNull(requestId);
+      Objects.requireNonNull(expectedRevision);
+      Objects.requireNonNull(digest);
+      Objects.requireNonNull(content);
+      Objects.requireNonNull(operator);
+    }
+  }
+
+  /**
+   * Takes a failure domain out or in.
+   *
+   * @param requestId operator's request id
+   * @param order the order, with the operator's revision for that domain
+   * @param operator who asks
+   * @since 0.1
+   */
+  record SwitchDomain(RequestId requestId, DomainSwitch order, String operator)
+      implements OperatorCommand {
+
+    /** Checks that all parts are present. */
+    public SwitchDomain {
+      Objects.requireNonNull(requestId);
+      Objects.requireNonNull(order);
+      Objects.requireNonNull(operator);
+    }
+  }
+
+  /**
+   * Claims a service request that must run at most once.
+   *
+   * @param key digest of customer, service and idempotency key
+   * @param request digest of the request's content
+   * @param claimant instance that will dispatch it
+   * @param keepMillis how long the claim is kept, in log time
+   * @since 0.1
+   */
+  record PutClaim(ContentDigest key, ContentDigest request, InstanceId claimant, long keepMillis)
+      implements RegistryCommand {
+
+    /** Checks that all parts are present. */
+    public PutClaim {
+      Objects.requireNonNull(key);
+      Objects.requireNonNull(request);
+      Objects.requireNonNull(claimant);
+    }
+  }
+
+  /**
+   * Asks for the office of a domain's keeper, under a new term.
+   *
+   * @param domain failure domain
+   * @param instance instance that asks
+   * @param leaseMillis how long the office is kept for it without a renewal
+   * @since 0.1
+   */
+  record AcquireKeeper(FailureDomainId domain, InstanceId instance, long leaseMillis)
+      implements RegistryCommand {
+
+    /** Checks that all parts are present. */
+    public AcquireKeeper {
+      Objects.requireNonNull(domain);
+      Objects.requireNonNull(instance);
+    }
+  }
+
+  /**
+   * Renews the office of a domain's keeper.
+   *
+   * @param domain failure domain
+   * @param instance keeper
+   * @param term term of its office
+   * @param leaseMillis how long the office is kept for it without a renewal; 0 gives it up
+   * @since 0.1
+   */
+  record RenewKeeper(FailureDomainId domain, InstanceId instance, Term term, long leaseMillis)
+      implements RegistryCommand {
+
+    /** Checks that all parts are present. */
+    public RenewKeeper {
+      Objects.requireNonNull(domain);
+      Objects.requireNonNull(instance);
+      Objects.requireNonNull(term);
+    }
+  }
+
+  /**
+   * Records a job's state. Versions only move forward, and a final record is not changed.
+   *
+   * @param domain home domain of the job
+   * @param job job
+   * @param version counted by the home domain's keeper
+   * @param isFinal whether the job is over
+   * @param payload state, as the keeper serialises it
+   * @since 0.1
+   */
+  record PutJob(FailureDomainId domain, JobId job, long version, boolean isFinal, byte[] payload)
+      implements RegistryCommand {
+
+    /** Checks that all parts are present. */
+    public PutJob {
+      Objects.requireNonNull(domain);
+      Objects.requireNonNull(job);
+      Objects.requireNonNull(payload);
+    }
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the registry. */
+package org.primrosegauge.core.registry.cfg;
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/registry/ConfigurationRegistryTest.java
@@ -0,0 +1,167 @@
+package org.primrosegauge.core.registry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.RequestId;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.registry.RegistryCommand.AcquireKeeper;
+import org.primrosegauge.core.registry.RegistryCommand.ApplyConfiguration;
+import org.primrosegauge.core.registry.RegistryCommand.PutClaim;
+import org.primrosegauge.core.registry.RegistryCommand.PutJob;
+import org.primrosegauge.core.registry.RegistryCommand.RenewKeeper;
+import org.primrosegauge.core.registry.RegistryCommand.SwitchDomain;
+import org.primrosegauge.core.registry.RegistryResult.ClaimHeld;
+import org.primrosegauge.core.registry.RegistryResult.ConfigurationAccepted;
+import org.primrosegauge.core.registry.RegistryResult.JobRecorded;
+import org.primrosegauge.core.registry.RegistryResult.KeeperGranted;
+import org.primrosegauge.core.registry.RegistryResult.KeeperRefused;
+import org.primrosegauge.core.registry.RegistryResult.LimitReached;
+import org.primrosegauge.core.registry.RegistryResult.RequestIdReused;
+import org.primrosegauge.core.registry.RegistryResult.RevisionConflict;
+import org.primrosegauge.core.registry.cfg.RegistrySettings;
+import org.primrosegauge.core.site.DomainSwitch;
+
+class ConfigurationRegistryTest {
+
+  private static final RegistrySettings SETTINGS =
+      RegistrySettings.DEFAULT.withAnswers(1_000, 10, 3).withRecords(1_000, 2, 2);
+  private static final FailureDomainId KLANG = new FailureDomainId("klang");
+  private static final InstanceId FIRST = new InstanceId("klang-1");
+  private static final InstanceId SECOND = new InstanceId("klang-2");
+
+  private final ConfigurationRegistry registry = new ConfigurationRegistry(SETTINGS);
+
+  private static ApplyConfiguration change(String id, long expected, String content) {
+    return new ApplyConfiguration(
+        new RequestId(id), new Revision(expected), ContentDigest.of(content), content, "aina");
+  }
+
+  private void restart() {
+    RegistrySnapshot snapshot = registry.snapshot();
+    registry.restore(snapshot);
+    assertThat(registry.snapshot()).isEqualTo(snapshot);
+  }
+
+  @Test
+  void resentChangeGetsTheFirstAnswerAlsoAfterRestart() {
+    RegistryResult first = registry.apply(change("r1", 0, "a = 1"), 10);
+    registry.apply(change("r2", 1, "a = 2"), 20);
+    restart();
+    assertThat(first)
+        .isEqualTo(new ConfigurationAccepted(new Revision(1), ContentDigest.of("a = 1")));
+    assertThat(registry.apply(change("r1", 0, "a = 1"), 30)).isEqualTo(first);
+    assertThat(registry.accepted().content()).isEqualTo("a = 2");
+  }
+
+  @Test
+  void equalRevisionWithOtherContentIsRefusedNamingTheAcceptedOne() {
+    registry.apply(change("r1", 0, "a = 1"), 10);
+    RegistryResult refusal = registry.apply(change("r2", 0, "a = 2"), 20);
+    assertThat(refusal)
+        .isEqualTo(new RevisionConflict(Revision.NONE, new Revision(1), ContentDigest.of("a = 1")));
+    registry.apply(change("r3", 1, "a = 3"), 30);
+    assertThat(registry.apply(change("r2", 0, "a = 2"), 40)).isEqualTo(refusal);
+  }
+
+  @Test
+  void reusedRequestIdIsRefused() {
+    registry.apply(change("r1", 0, "a = 1"), 10);
+    assertThat(registry.apply(change("r1", 1, "a = 2"), 20))
+        .isEqualTo(new RequestIdReused(ContentDigest.of("a = 1")));
+    assertThat(registry.accepted().revision()).isEqualTo(new Revision(1));
+  }
+
+  @Test
+  void historyIsBoundedAndRevisionsGoOn() {
+    for (int i = 0; i < 5; i++) {
+      registry.apply(change("r" + i, i, "a = " + i), i);
+    }
+    assertThat(registry.history().stream().map(entry -> entry.revision().number()))
+        .containsExactly(3L, 4L, 5L)
+        .inOrder();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "1, true, 2, false, false",
+    "2, true, 1, false, true",
+    "1, true, 1, false, true",
+    "1, false, 1, true, true"
+  })
+  void higherOrderWinsAndOutWinsAtAnEqualOne(
+      long oneRevision, boolean oneOut, long twoRevision, boolean twoOut, boolean isOut) {
+    registry.apply(order("r1", oneRevision, oneOut), 1);
+    registry.apply(order("r2", twoRevision, twoOut), 2);
+    restart();
+    assertThat(registry.switches().get(0).out()).isEqualTo(isOut);
+  }
+
+  private static SwitchDomain order(String id, long revision, boolean out) {
+    DomainSwitch order =
+        new DomainSwitch(KLANG, out, DomainSwitch.RunningWork.FINISH, new Revision(revision));
+    return new SwitchDomain(new RequestId(id), order, "aina");
+  }
+
+  @Test
+  void firstClaimHoldsUntilItExpires() {
+    ContentDigest key = ContentDigest.of("key");
+    PutClaim first = new PutClaim(key, ContentDigest.of("body"), FIRST, 100);
+    PutClaim second = new PutClaim(key, ContentDigest.of("body"), SECOND, 100);
+    assertThat(registry.apply(first, 10)).isInstanceOf(ClaimHeld.class);
+    restart();
+    ClaimHeld held = (ClaimHeld) registry.apply(second, 109);
+    assertThat(held.claim().claimant()).isEqualTo(FIRST);
+    assertThat(held.isFirst()).isFalse();
+    assertThat(((ClaimHeld) registry.apply(second, 110)).isFirst()).isTrue();
+  }
+
+  @Test
+  void claimsAreBounded() {
+    for (int i = 0; i < 2; i++) {
+      ContentDigest key = ContentDigest.of("key" + i);
+      registry.apply(new PutClaim(key, key, FIRST, 100), 1);
+    }
+    ContentDigest third = ContentDigest.of("third");
+    assertThat(registry.apply(new PutClaim(third, third, FIRST, 100), 2))
+        .isEqualTo(new LimitReached("max-claims"));
+  }
+
+  @Test
+  void nextHolderGetsLaterTermOnceTheLeaseRanOut() {
+    assertThat(registry.apply(new AcquireKeeper(KLANG, FIRST, 100), 0))
+        .isEqualTo(new KeeperGranted(new Term(1), 100));
+    assertThat(registry.apply(new AcquireKeeper(KLANG, SECOND, 100), 99))
+        .isInstanceOf(KeeperRefused.class);
+    registry.apply(new RenewKeeper(KLANG, FIRST, new Term(1), 100), 99);
+    restart();
+    assertThat(registry.apply(new AcquireKeeper(KLANG, SECOND, 100), 198))
+        .isInstanceOf(KeeperRefused.class);
+    assertThat(registry.apply(new AcquireKeeper(KLANG, SECOND, 100), 199))
+        .isEqualTo(new KeeperGranted(new Term(2), 100));
+    assertThat(registry.apply(new RenewKeeper(KLANG, FIRST, new Term(1), 100), 200))
+        .isInstanceOf(KeeperRefused.class);
+  }
+
+  @Test
+  void jobRecordsOnlyMoveForwardAndFinalOnesExpire() {
+    JobId job = new JobId("j1");
+    assertThat(registry.apply(put(job, 2, false), 0)).isEqualTo(new JobRecorded(2, true));
+    assertThat(registry.apply(put(job, 1, true), 1)).isEqualTo(new JobRecorded(2, false));
+    assertThat(registry.apply(put(job, 3, true), 2)).isEqualTo(new JobRecorded(3, true));
+    assertThat(registry.apply(put(job, 4, false), 3)).isEqualTo(new JobRecorded(3, false));
+    restart();
+    registry.apply(put(new JobId("j2"), 1, false), 1_002);
+    assertThat(registry.job(job)).isEmpty();
+  }
+
+  private static PutJob put(JobId job, long version, boolean isFinal) {
+    return new PutJob(KLANG, job, version, isFinal, new byte[] {(byte) version});
+  }
+}
