Jobs find their home: routing of job calls to the keeper of the home domain

Cause: a job sent again to another instance must reach the same decision. Ruled out: the log as arbiter of ids (a cut-off domain could accept nothing) and asking every keeper. Change: the id names its home domain, or rendezvous hashing does; statuses tell where the keeper is.

--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/job/HomeDomainsTest.java
@@ -0,0 +1,58 @@
+package org.primrosegauge.core.job;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.JobId;
+
+class HomeDomainsTest {
+
+  private static final List<FailureDomainId> DOMAINS =
+      List.of(
+          new FailureDomainId("klang"),
+          new FailureDomainId("klang.north"),
+          new FailureDomainId("penang"),
+          new FailureDomainId("johor"));
+
+  @Test
+  void idNamesItsHomeByTheLongestDomain() {
+    assertThat(HomeDomains.homeOf(new JobId("klang.north.plan"), DOMAINS))
+        .hasValue(new FailureDomainId("klang.north"));
+    assertThat(HomeDomains.homeOf(HomeDomains.named(DOMAINS.get(2), "x"), DOMAINS))
+        .hasValue(DOMAINS.get(2));
+  }
+
+  @Property(seed = "31", tries = 200)
+  void everyInstanceFindsTheSameHomeInAnyOrderOfDomains(
+      @ForAll @IntRange(min = 0, max = 100_000) int job, @ForAll long shuffle) {
+    List<FailureDomainId> shuffled = new ArrayList<>(DOMAINS);
+    Collections.shuffle(shuffled, new Random(shuffle));
+    JobId id = new JobId("plan-" + job);
+    assertThat(HomeDomains.homeOf(id, shuffled)).isEqualTo(HomeDomains.homeOf(id, DOMAINS));
+  }
+
+  @Test
+  void removingDomainMovesOnlyItsOwnIds() {
+    List<FailureDomainId> fewer = DOMAINS.subList(0, 3);
+    Set<FailureDomainId> used = new HashSet<>();
+    for (int i = 0; i < 200; i++) {
+      JobId id = new JobId("plan-" + i);
+      FailureDomainId before = HomeDomains.homeOf(id, DOMAINS).orElseThrow();
+      used.add(before);
+      if (!before.equals(DOMAINS.get(3))) {
+        assertThat(HomeDomains.homeOf(id, fewer)).hasValue(before);
+      }
+    }
+    assertThat(used).containsExactlyElementsIn(DOMAINS);
+  }
+}
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobMessage.java
@@ -0,0 +1,89 @@
+package org.primrosegauge.node.job;
+
+import java.util.List;
+import org.primrosegauge.core.ErrorKind;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.job.JobSpec;
+import org.primrosegauge.wire.api.JobView;
+
+/**
+ * Questions about jobs that an instance asks a keeper, and the keeper's answers.
+ *
+ * @since 0.1
+ */
+public sealed interface JobMessage {
+
+  /** A question. */
+  sealed interface Question extends JobMessage {}
+
+  /**
+   * Submits a job.
+   *
+   * @param job job, with its id
+   */
+  record Submit(JobSpec job) implements Question {}
+
+  /**
+   * Cancels a job.
+   *
+   * @param job id of the job
+   */
+  record Cancel(JobId job) implements Question {}
+
+  /**
+   * Asks where a job stands.
+   *
+   * @param job id of the job
+   */
+  record Show(JobId job) implements Question {}
+
+  /**
+   * Asks for all jobs of the keeper's domain.
+   *
+   * @param most most jobs to return
+   */
+  record ListAll(int most) implements Question {}
+
+  /**
+   * Answers with a job.
+   *
+   * @param job the job
+   */
+  record Found(JobView job) implements JobMessage {}
+
+  /**
+   * Answers with jobs.
+   *
+   * @param jobs the jobs, by id
+   */
+  record FoundAll(List<JobView> jobs) implements JobMessage {}
+
+  /**
+   * Answers with an error; nothing was changed.
+   *
+   * @param kind kind of the error
+   * @param summary what went wrong
+   * @param remedy what to do about it
+   */
+  record Refused(ErrorKind kind, String summary, String remedy) implements JobMessage {
+
+    /**
+     * Creates the answer for an error.
+     *
+     * @since 0.1
+     */
+    public static Refused of(PrimrosegaugeException error) {
+      return new Refused(error.kind(), error.summary(), error.remedy());
+    }
+
+    /**
+     * Returns the error that this answer stands for.
+     *
+     * @since 0.1
+     */
+    public PrimrosegaugeException toException() {
+      return new PrimrosegaugeException(kind, summary, remedy, "");
+    }
+  }
+}
