--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/QueueOrder.java
@@ -0,0 +1,45 @@
+package org.primrosegauge.core.schedule.cfg;
+
+/**
+ * Decides which waiting job comes first.
+ *
+ * @since 0.1
+ */
+@FunctionalInterface
+public interface QueueOrder {
+
+  /** First in, first out. */
+  QueueOrder FIFO = job -> 0;
+
+  /** Shortest declared run time first; jobs that declare none come last. */
+  QueueOrder SHORTEST_DECLARED =
+      job -> job.declaredMillis() == 0 ? Long.MAX_VALUE : job.declaredMillis();
+
+  /**
+   * Returns the rank of a job when it enters the queue. The lowest comes first; equal ranks go by
+   * the time of submission.
+   *
+   * @since 0.1
+   */
+  long rank(QueuedJob job);
+
+  /**
+   * Returns least-attained-service order with levels (Tiresias, NSDI 2019): each level spans ten
+   * times the service of the one before.
+   *
+   * @param firstLevel accelerator-milliseconds of the first level
+   * @since 0.1
+   */
+  static QueueOrder leastAttained(long firstLevel) {
+    return job -> {
+      long rank = 0;
+      for (long limit = firstLevel; job.attainedService() >= limit; limit *= LEVEL_FACTOR) {
+        rank++;
+      }
+      return rank;
+    };
+  }
+
+  /** Service of a level in proportion to the one before. */
+  int LEVEL_FACTOR = 10;
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Settings and policies of the scheduler. */
+package org.primrosegauge.core.schedule.cfg;
