Registry: the keepers' offices are those of core.keeper

Ruled out: keeping both and mapping between them in the node. The test of the office now states the same rules through KeeperOffices, with the promise's end to the millisecond. Conclusion: one place decides about keepers.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/ConfigurationRegistry.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/ConfigurationRegistry.java
@@ -4,19 +4,27 @@
 import java.util.Optional;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.keeper.KeeperOffice;
+import org.primrosegauge.core.keeper.KeeperOffices;
+import org.primrosegauge.core.keeper.QuorumResult;
+import org.primrosegauge.core.keeper.cfg.KeeperSettings;
+import org.primrosegauge.core.registry.RegistryCommand.AcknowledgeKeepers;
 import org.primrosegauge.core.registry.RegistryCommand.AcquireKeeper;
 import org.primrosegauge.core.registry.RegistryCommand.ApplyConfiguration;
+import org.primrosegauge.core.registry.RegistryCommand.ConfigureKeepers;
+import org.primrosegauge.core.registry.RegistryCommand.ConfirmKeepersStopped;
+import org.primrosegauge.core.registry.RegistryCommand.KeeperCommand;
 import org.primrosegauge.core.registry.RegistryCommand.OperatorCommand;
 import org.primrosegauge.core.registry.RegistryCommand.PutClaim;
 import org.primrosegauge.core.registry.RegistryCommand.PutJob;
 import org.primrosegauge.core.registry.RegistryCommand.RenewKeeper;
 import org.primrosegauge.core.registry.RegistryCommand.SwitchDomain;
+import org.primrosegauge.core.registry.RegistryResult.KeeperDecided;
 import org.primrosegauge.core.registry.cfg.RegistrySettings;
 import org.primrosegauge.core.registry.impl.AnswerStore;
 import org.primrosegauge.core.registry.impl.ClaimStore;
 import org.primrosegauge.core.registry.impl.ConfigurationStore;
 import org.primrosegauge.core.registry.impl.JobStore;
-import org.primrosegauge.core.registry.impl.KeeperStore;
 import org.primrosegauge.core.site.DomainSwitch;
 
 /**
@@ -33,9 +41,10 @@
 public final class ConfigurationRegistry {
 
   private final RegistrySettings settings;
+  private final KeeperSettings keeperSettings;
   private ConfigurationStore configuration;
   private AnswerStore answers;
-  private KeeperStore keepers;
+  private KeeperOffices keepers;
   private ClaimStore claims;
   private JobStore jobs;
   private long logMillis;
@@ -45,10 +54,13 @@
   /**
    * Creates the registry of a new site.
    *
+   * @param settings bounds on what is kept
+   * @param keeperSettings length of the keepers' leases
    * @since 0.1
    */
-  public ConfigurationRegistry(RegistrySettings settings) {
+  public ConfigurationRegistry(RegistrySettings settings, KeeperSettings keeperSettings) {
     this.settings = settings;
+    this.keeperSettings = keeperSettings;
     restore(RegistrySnapshot.EMPTY);
   }
 
@@ -61,7 +73,7 @@
     logMillis = snapshot.logMillis();
     configuration = new ConfigurationStore(settings, snapshot);
     answers = new AnswerStore(settings, snapshot);
-    keepers = new KeeperStore(snapshot);
+    keepers = new KeeperOffices(keeperSettings, snapshot.keepers());
     claims = new ClaimStore(settings, snapshot);
     jobs = new JobStore(settings, snapshot);
   }
@@ -78,7 +90,7 @@
         configuration.history(),
         answers.answers(),
         configuration.switches(),
-        keepers.offices(),
+        keepers.states(),
         claims.claims(),
         jobs.jobs());
   }
@@ -122,12 +134,12 @@
   }
 
   /**
-   * Returns the office of a domain's keeper, if it ever had one.
+   * Returns the office of a domain's keeper.
    *
    * @since 0.1
    */
-  public Optional<KeeperOffice> keeper(FailureDomainId domain) {
-    return Optional.ofNullable(keepers.find(domain));
+  public KeeperOffice keeper(FailureDomainId domain) {
+    return keepers.office(domain);
   }
 
   /**
@@ -173,10 +185,8 @@
       return answerOnce(operatorCommand);
     } else if (command instanceof PutClaim put) {
       return claims.apply(put, logMillis);
-    } else if (command instanceof AcquireKeeper acquire) {
-      return keepers.apply(acquire, logMillis);
-    } else if (command instanceof RenewKeeper renew) {
-      return keepers.apply(renew, logMillis);
+    } else if (command instanceof KeeperCommand keeperCommand) {
+      return new KeeperDecided(decide(keeperCommand));
     }
     return jobs.apply((PutJob) command, logMillis);
   }
@@ -201,6 +211,20 @@
     return configuration.apply(((SwitchDomain) command).order());
   }
 
+  private QuorumResult decide(KeeperCommand command) {
+    FailureDomainId domain = command.domain();
+    if (command instanceof ConfigureKeepers configure) {
+      return keepers.configure(domain, configure.members());
+    } else if (command instanceof AcquireKeeper acquire) {
+      return keepers.acquire(domain, acquire.instance(), acquire.expected(), logMillis);
+    } else if (command instanceof RenewKeeper renew) {
+      return keepers.renew(domain, renew.instance(), renew.term(), logMillis);
+    } else if (command instanceof AcknowledgeKeepers known) {
+      return keepers.acknowledge(domain, known.instance(), known.term(), known.version());
+    }
+    return keepers.confirmStopped(domain, ((ConfirmKeepersStopped) command).version());
+  }
+
   private void expire() {
     answers.expire(logMillis);
     claims.expire(logMillis);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistryCommand.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistryCommand.java
@@ -1,5 +1,6 @@
 package org.primrosegauge.core.registry;
 
+import java.util.List;
 import java.util.Objects;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
@@ -100,34 +101,67 @@
   }
 
   /**
-   * Asks for the office of a domain's keeper, under a new term.
+   * Command about the keeper's office of one failure domain, see {@link
+   * org.primrosegauge.core.keeper.KeeperOffices}.
+   *
+   * @since 0.1
+   */
+  sealed interface KeeperCommand extends RegistryCommand {
+
+    /**
+     * Returns the failure domain.
+     *
+     * @since 0.1
+     */
+    FailureDomainId domain();
+  }
+
+  /**
+   * Replaces the instance set of a domain.
+   *
+   * @param domain failure domain
+   * @param members configured instances
+   * @since 0.1
+   */
+  record ConfigureKeepers(FailureDomainId domain, List<InstanceId> members)
+      implements KeeperCommand {
+
+    /** Copies the list. */
+    public ConfigureKeepers {
+      Objects.requireNonNull(domain);
+      members = List.copyOf(members);
+    }
+  }
+
+  /**
+   * Asks for the office under a new term.
    *
    * @param domain failure domain
    * @param instance instance that asks
-   * @param leaseMillis how long the office is kept for it without a renewal
+   * @param expected term that must still be the last one
    * @since 0.1
    */
-  record AcquireKeeper(FailureDomainId domain, InstanceId instance, long leaseMillis)
-      implements RegistryCommand {
+  record AcquireKeeper(FailureDomainId domain, InstanceId instance, Term expected)
+      implements KeeperCommand {
 
     /** Checks that all parts are present. */
     public AcquireKeeper {
       Objects.requireNonNull(domain);
       Objects.requireNonNull(instance);
+      Objects.requireNonNull(expected);
     }
   }
 
   /**
-   * Renews the office of a domain's keeper.
+   * Renews the lease of the office.
    *
    * @param domain failure domain
    * @param instance keeper
    * @param term term of its office
-   * @param leaseMillis how long the office is kept for it without a renewal; 0 gives it up
    * @since 0.1
    */
-  record RenewKeeper(FailureDomainId domain, InstanceId instance, Term term, long leaseMillis)
-      implements RegistryCommand {
+  record RenewKeeper(FailureDomainId domain, InstanceId instance, Term term)
+      implements KeeperCommand {
 
     /** Checks that all parts are present. */
     public RenewKeeper {
@@ -137,6 +171,42 @@
     }
   }
 
+  /**
+   * Records that an instance relies on no older instance set.
+   *
+   * @param domain failure domain
+   * @param instance instance
+   * @param term term in effect at the instance, or {@link Term#NONE}
+   * @param version version of the pending set
+   * @since 0.1
+   */
+  record AcknowledgeKeepers(FailureDomainId domain, InstanceId instance, Term term, long version)
+      implements KeeperCommand {
+
+    /** Checks that all parts are present. */
+    public AcknowledgeKeepers {
+      Objects.requireNonNull(domain);
+      Objects.requireNonNull(instance);
+      Objects.requireNonNull(term);
+    }
+  }
+
+  /**
+   * States, on an operator's word, that the old members which have not acknowledged the pending set
+   * are stopped for good.
+   *
+   * @param domain failure domain
+   * @param version version of the pending set
+   * @since 0.1
+   */
+  record ConfirmKeepersStopped(FailureDomainId domain, long version) implements KeeperCommand {
+
+    /** Checks that the domain is present. */
+    public ConfirmKeepersStopped {
+      Objects.requireNonNull(domain);
+    }
+  }
+
   /**
    * Records a job's state. Versions only move forward, and a final record is not changed.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistryResult.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistryResult.java
@@ -1,7 +1,7 @@
 package org.primrosegauge.core.registry;
 
 import org.primrosegauge.core.Revision;
-import org.primrosegauge.core.Term;
+import org.primrosegauge.core.keeper.QuorumResult;
 import org.primrosegauge.core.site.DomainSwitch;
 
 /**
@@ -58,22 +58,12 @@
   record ClaimHeld(Claim claim, boolean isFirst) implements RegistryResult {}
 
   /**
-   * The office is granted or renewed.
+   * The outcome of a command about a keeper's office.
    *
-   * @param term term of the office
-   * @param leaseMillis how long it lasts, in log time
+   * @param decision outcome and the office after it
    * @since 0.1
    */
-  record KeeperGranted(Term term, long leaseMillis) implements RegistryResult {}
-
-  /**
-   * The office is held by another instance, or under another term.
-   *
-   * @param holder present holder
-   * @param remainingMillis rest of its lease, in log time; 0 when it ran out
-   * @since 0.1
-   */
-  record KeeperRefused(KeeperOffice holder, long remainingMillis) implements RegistryResult {}
+  record KeeperDecided(QuorumResult decision) implements RegistryResult {}
 
   /**
    * The job record's outcome.
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistrySnapshot.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistrySnapshot.java
@@ -1,6 +1,7 @@
 package org.primrosegauge.core.registry;
 
 import java.util.List;
+import org.primrosegauge.core.keeper.KeeperOfficeState;
 import org.primrosegauge.core.site.DomainSwitch;
 
 /**
@@ -22,7 +23,7 @@
     List<HistoryEntry> history,
     List<RecordedAnswer> answers,
     List<DomainSwitch> switches,
-    List<KeeperOffice> keepers,
+    List<KeeperOfficeState> keepers,
     List<Claim> claims,
     List<JobRecord> jobs) {
 
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/registry/ConfigurationRegistryTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/registry/ConfigurationRegistryTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -11,8 +12,11 @@
 import org.primrosegauge.core.RequestId;
 import org.primrosegauge.core.Revision;
 import org.primrosegauge.core.Term;
+import org.primrosegauge.core.keeper.QuorumResult.Outcome;
+import org.primrosegauge.core.keeper.cfg.KeeperSettings;
 import org.primrosegauge.core.registry.RegistryCommand.AcquireKeeper;
 import org.primrosegauge.core.registry.RegistryCommand.ApplyConfiguration;
+import org.primrosegauge.core.registry.RegistryCommand.ConfigureKeepers;
 import org.primrosegauge.core.registry.RegistryCommand.PutClaim;
 import org.primrosegauge.core.registry.RegistryCommand.PutJob;
 import org.primrosegauge.core.registry.RegistryCommand.RenewKeeper;
@@ -20,8 +24,7 @@
 import org.primrosegauge.core.registry.RegistryResult.ClaimHeld;
 import org.primrosegauge.core.registry.RegistryResult.ConfigurationAccepted;
 import org.primrosegauge.core.registry.RegistryResult.JobRecorded;
-import org.primrosegauge.core.registry.RegistryResult.KeeperGranted;
-import org.primrosegauge.core.registry.RegistryResult.KeeperRefused;
+import org.primrosegauge.core.registry.RegistryResult.KeeperDecided;
 import org.primrosegauge.core.registry.RegistryResult.LimitReached;
 import org.primrosegauge.core.registry.RegistryResult.RequestIdReused;
 import org.primrosegauge.core.registry.RegistryResult.RevisionConflict;
@@ -32,11 +35,12 @@
 
   private static final RegistrySettings SETTINGS =
       RegistrySettings.DEFAULT.withAnswers(1_000, 10, 3).withRecords(1_000, 2, 2);
+  private static final KeeperSettings LEASE = KeeperSettings.DEFAULT;
   private static final FailureDomainId KLANG = new FailureDomainId("klang");
   private static final InstanceId FIRST = new InstanceId("klang-1");
   private static final InstanceId SECOND = new InstanceId("klang-2");
 
-  private final ConfigurationRegistry registry = new ConfigurationRegistry(SETTINGS);
+  private final ConfigurationRegistry registry = new ConfigurationRegistry(SETTINGS, LEASE);
 
   private static ApplyConfiguration change(String id, long expected, String content) {
     return new ApplyConfiguration(
@@ -135,18 +139,23 @@
 
   @Test
   void nextHolderGetsLaterTermOnceTheLeaseRanOut() {
-    assertThat(registry.apply(new AcquireKeeper(KLANG, FIRST, 100), 0))
-        .isEqualTo(new KeeperGranted(new Term(1), 100));
-    assertThat(registry.apply(new AcquireKeeper(KLANG, SECOND, 100), 99))
-        .isInstanceOf(KeeperRefused.class);
-    registry.apply(new RenewKeeper(KLANG, FIRST, new Term(1), 100), 99);
+    registry.apply(new ConfigureKeepers(KLANG, List.of(FIRST, SECOND)), 0);
+    assertThat(outcome(new AcquireKeeper(KLANG, FIRST, Term.NONE), 0)).isEqualTo(Outcome.GRANTED);
     restart();
-    assertThat(registry.apply(new AcquireKeeper(KLANG, SECOND, 100), 198))
-        .isInstanceOf(KeeperRefused.class);
-    assertThat(registry.apply(new AcquireKeeper(KLANG, SECOND, 100), 199))
-        .isEqualTo(new KeeperGranted(new Term(2), 100));
-    assertThat(registry.apply(new RenewKeeper(KLANG, FIRST, new Term(1), 100), 200))
-        .isInstanceOf(KeeperRefused.class);
+    long promise = LEASE.promiseMillis();
+    AcquireKeeper takeover = new AcquireKeeper(KLANG, SECOND, new Term(1));
+    assertThat(outcome(takeover, promise - 1)).isEqualTo(Outcome.LEASE_RUNNING);
+    RenewKeeper renewal = new RenewKeeper(KLANG, FIRST, new Term(1));
+    assertThat(outcome(renewal, promise - 1)).isEqualTo(Outcome.GRANTED);
+    restart();
+    assertThat(outcome(takeover, promise)).isEqualTo(Outcome.LEASE_RUNNING);
+    assertThat(outcome(takeover, 2 * promise - 1)).isEqualTo(Outcome.GRANTED);
+    assertThat(registry.keeper(KLANG).term()).isEqualTo(new Term(2));
+    assertThat(outcome(renewal, 2 * promise)).isEqualTo(Outcome.STALE_TERM);
+  }
+
+  private Outcome outcome(RegistryCommand command, long logMillis) {
+    return ((KeeperDecided) registry.apply(command, logMillis)).decision().outcome();
   }
 
   @Test
