--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/request/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the request router. */
+package org.primrosegauge.core.request.cfg;
