Keeper, log and registry duties; workers announce themselves to the keeper

Cause: the state machines need threads and ports. Ruled out: pushing the registry to every instance (the leader would need to know them all); instances pull once a second, with the configuration compressed. Measured: builds clean; not yet run as processes.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/ConfigurationRegistry.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/ConfigurationRegistry.java
@@ -5,6 +5,7 @@
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.keeper.KeeperOffice;
+import org.primrosegauge.core.keeper.KeeperOfficeState;
 import org.primrosegauge.core.keeper.KeeperOffices;
 import org.primrosegauge.core.keeper.QuorumResult;
 import org.primrosegauge.core.keeper.cfg.KeeperSettings;
@@ -142,6 +143,15 @@
     return keepers.office(domain);
   }
 
+  /**
+   * Returns the offices of all domains that have one, by domain.
+   *
+   * @since 0.1
+   */
+  public List<KeeperOffice> offices() {
+    return keepers.states().stream().map(KeeperOfficeState::office).toList();
+  }
+
   /**
    * Returns the claim of a key, if it has one.
    *
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
@@ -0,0 +1,408 @@
+package org.primrosegauge.node.keeper;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.primrosegauge.core.ErrorKind;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.TaskId;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.job.JobPhase;
+import org.primrosegauge.core.job.JobSpec;
+import org.primrosegauge.core.keeper.KeeperAction;
+import org.primrosegauge.core.keeper.KeeperLease;
+import org.primrosegauge.core.keeper.KeeperMessage;
+import org.primrosegauge.core.keeper.KeeperOffice;
+import org.primrosegauge.core.keeper.QuorumResult;
+import org.primrosegauge.core.keeper.cfg.KeeperSettings;
+import org.primrosegauge.core.registry.RegistryCommand;
+import org.primrosegauge.core.schedule.DomainScheduler;
+import org.primrosegauge.core.schedule.Explanation;
+import org.primrosegauge.core.schedule.JobReason;
+import org.primrosegauge.core.schedule.SchedulerAction;
+import org.primrosegauge.core.schedule.WorkerDescription;
+import org.primrosegauge.core.schedule.cfg.SchedulerSettings;
+import org.primrosegauge.core.schedule.cfg.SchedulingPolicy;
+import org.primrosegauge.core.site.DomainSwitch;
+import org.primrosegauge.core.site.SiteConfiguration;
+import org.primrosegauge.node.duty.Duty;
+import org.primrosegauge.node.duty.MonotonicClock;
+import org.primrosegauge.node.job.JobMessage;
+import org.primrosegauge.node.metrics.NodeMetrics;
+import org.primrosegauge.node.target.WorkerClient;
+import org.primrosegauge.node.transport.PeerTransport;
+import org.primrosegauge.wire.api.JobView;
+import org.primrosegauge.wire.target.AnnouncementReply;
+import org.primrosegauge.wire.target.TaskEnd;
+import org.primrosegauge.wire.target.WorkerAnnouncement;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+
+/**
+ * The keeper duty of an instance: it takes part in the keeper's lease of the failure domain and,
+ * while it holds the office, schedules the domain's jobs.
+ *
+ * <p>All state is touched on the duty's own thread only. Life-cycle: {@link #start}, {@link
+ * #close}.
+ *
+ * @since 0.1
+ */
+public final class KeeperDuty implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(KeeperDuty.class);
+  private static final long TICK_MILLIS = 50;
+  private static final int OUT_SWITCH_UNKNOWN = 0;
+
+  private final FailureDomainId domain;
+  private final MonotonicClock clock;
+  private final PeerTransport transport;
+  private final KeeperQuorum quorum;
+  private final NodeMetrics metrics;
+  private final Duty duty;
+  private final KeeperLease lease;
+  private final DomainScheduler scheduler;
+  private final WorkerRegistry workers;
+  private final CommandSender commands;
+  private final JobTable jobs;
+  private volatile Term publishedTerm = Term.NONE;
+  private volatile Revision publishedSwitch = new Revision(OUT_SWITCH_UNKNOWN);
+  private volatile int publishedWorkers;
+  private volatile int publishedFree;
+
+  /**
+   * Creates the duty.
+   *
+   * @param ringCapacity most events that wait
+   * @param workerLeaseMillis how long a worker's announcement holds, in milliseconds
+   * @since 0.1
+   */
+  public KeeperDuty(
+      FailureDomainId domain,
+      InstanceId self,
+      KeeperSettings settings,
+      int ringCapacity,
+      long workerLeaseMillis,
+      MonotonicClock clock,
+      PeerTransport transport,
+      KeeperQuorum quorum,
+      WorkerClient client,
+      NodeMetrics metrics) {
+    this.domain = domain;
+    this.clock = clock;
+    this.transport = transport;
+    this.quorum = quorum;
+    this.metrics = metrics;
+    this.duty = new Duty("keeper", ringCapacity, TICK_MILLIS, clock, this::tick);
+    this.lease = new KeeperLease(domain, self, settings, clock.nowMillis());
+    this.scheduler =
+        new DomainScheduler(domain, SchedulerSettings.DEFAULTS, SchedulingPolicy.DEFAULT);
+    this.workers = new WorkerRegistry(workerLeaseMillis);
+    this.commands =
+        new CommandSender(workers, client, metrics, () -> lease.mayStart(clock.nowMillis()));
+    this.jobs = new JobTable(domain);
+    transport.onTell(
+        KeeperMessage.class,
+        (from, message) -> duty.offer(() -> run(lease.receive(message, clock.nowMillis()))));
+    transport.onAsk(JobMessage.Question.class, (from, question) -> answer(question));
+  }
+
+  // Life-cycle
+
+  /**
+   * Starts the duty.
+   *
+   * @since 0.1
+   */
+  public void start() {
+    duty.start();
+  }
+
+  @Override
+  public void close() {
+    duty.close();
+  }
+
+  // Accessors; may be called from any thread
+
+  /**
+   * Returns the term under which this instance is in office, or {@link Term#NONE}.
+   *
+   * @since 0.1
+   */
+  public Term term() {
+    return publishedTerm;
+  }
+
+  /**
+   * Returns the revision of the domain's switch that this keeper has taken over.
+   *
+   * @since 0.1
+   */
+  public Revision switchInForce() {
+    return publishedSwitch;
+  }
+
+  /**
+   * Returns the number of workers that hold a lease from this keeper.
+   *
+   * @since 0.1
+   */
+  public int workers() {
+    return publishedWorkers;
+  }
+
+  /**
+   * Returns the accelerators that no announced task uses.
+   *
+   * @since 0.1
+   */
+  public int freeAccelerators() {
+    return publishedFree;
+  }
+
+  // Events; may be called from any thread
+
+  /**
+   * Takes the announcement of a worker.
+   *
+   * @return the reply; empty when this instance is not the keeper
+   * @since 0.1
+   */
+  public Mono<Optional<AnnouncementReply>> announced(
+      TargetId worker, WorkerAnnouncement announcement) {
+    return duty.ask(() -> takeAnnouncement(worker, announcement));
+  }
+
+  /**
+   * Takes over a configuration.
+   *
+   * @since 0.1
+   */
+  public boolean configured(SiteConfiguration configuration) {
+    return duty.offer(
+        () -> perform(scheduler.configurationChanged(configuration, clock.nowMillis())));
+  }
+
+  /**
+   * Takes over an order about the domain.
+   *
+   * @since 0.1
+   */
+  public boolean switched(DomainSwitch order) {
+    return duty.offer(
+        () -> {
+          perform(scheduler.domainSwitched(order, clock.nowMillis()));
+          if (order.revision().compareTo(publishedSwitch) > 0) {
+            publishedSwitch = order.revision();
+          }
+        });
+  }
+
+  /**
+   * Takes over what the quorum has recorded about the office.
+   *
+   * @since 0.1
+   */
+  public boolean officeObserved(KeeperOffice office) {
+    return duty.offer(() -> run(lease.officeObserved(office, clock.nowMillis())));
+  }
+
+  // Jobs
+
+  private Mono<JobMessage> answer(JobMessage.Question question) {
+    return duty.ask(
+        () -> {
+          try {
+            return decide(question);
+          } catch (PrimrosegaugeException e) {
+            return JobMessage.Refused.of(e);
+          }
+        });
+  }
+
+  private JobMessage decide(JobMessage.Question question) throws PrimrosegaugeException {
+    if (lease.term().equals(Term.NONE)) {
+      throw new PrimrosegaugeException(
+          ErrorKind.UNAVAILABLE,
+          "this instance is not the keeper of failure domain " + domain,
+          "come back in a second",
+          "");
+    }
+    if (question instanceof JobMessage.Submit submit) {
+      return new JobMessage.Found(submit(submit.job()));
+    } else if (question instanceof JobMessage.Cancel cancel) {
+      jobs.view(cancel.job(), null);
+      perform(scheduler.cancel(cancel.job(), clock.nowMillis()));
+      return new JobMessage.Found(view(cancel.job()));
+    } else if (question instanceof JobMessage.Show show) {
+      return new JobMessage.Found(view(show.job()));
+    }
+    return new JobMessage.FoundAll(jobs.views(((JobMessage.ListAll) question).most()));
+  }
+
+  private JobView submit(JobSpec job) throws PrimrosegaugeException {
+    if (jobs.add(job)) {
+      perform(scheduler.submit(job, clock.nowMillis()));
+    }
+    return view(job.id());
+  }
+
+  private JobView view(JobId job) throws PrimrosegaugeException {
+    String waitsFor = scheduler.explain(job, clock.nowMillis()).map(this::describe).orElse(null);
+    return jobs.view(job, waitsFor);
+  }
+
+  private String describe(Explanation explanation) {
+    long seconds = (clock.nowMillis() - explanation.sinceMillis()) / 1_000;
+    String behind = explanation.behind().map(job -> " behind job " + job).orElse("");
+    return explanation.reason().label() + behind + " for " + seconds + " s";
+  }
+
+  // Workers
+
+  private Optional<AnnouncementReply> takeAnnouncement(
+      TargetId worker, WorkerAnnouncement announcement) throws PrimrosegaugeException {
+    long now = clock.nowMillis();
+    if (!lease.mayStart(now)) {
+      return Optional.empty();
+    }
+    final WorkerDescription description = WorkerRegistry.describe(worker, announcement);
+    workers.announced(worker, announcement, now);
+    // Ends first: a task that is neither running nor ended counts as lost.
+    perform(scheduler.workerReported(WorkerRegistry.report(worker, announcement), now));
+    perform(scheduler.workerAnnounced(description, now));
+    if (announcement.leaving()) {
+      perform(scheduler.workerLeaving(worker, now));
+    }
+    List<TaskId> acknowledged = announcement.ended().stream().map(TaskEnd::task).toList();
+    return Optional.of(new AnnouncementReply(workers.leaseMillis(), null, acknowledged));
+  }
+
+  // Time
+
+  private void tick(long nowMillis) {
+    run(lease.tick(nowMillis));
+    if (lease.mayStart(nowMillis)) {
+      perform(scheduler.leaseGranted(lease.term(), lease.snapshot().leaseUntil(), nowMillis));
+      for (TargetId expired : workers.expire(nowMillis)) {
+        perform(scheduler.workerExpired(expired, nowMillis));
+      }
+    }
+    perform(scheduler.tick(nowMillis));
+    publish(nowMillis);
+  }
+
+  private void publish(long nowMillis) {
+    publishedTerm = lease.mayStart(nowMillis) ? lease.term() : Term.NONE;
+    publishedWorkers = workers.size();
+    publishedFree =
+        workers.all().values().stream()
+            .mapToInt(
+                known ->
+                    known.last().capacity().accelerators()
+                        - known.last().tasks().stream()
+                            .mapToInt(task -> task.usage().accelerators())
+                            .sum())
+            .sum();
+  }
+
+  // Actions of the lease
+
+  private void run(List<KeeperAction> actions) {
+    for (KeeperAction action : actions) {
+      if (action instanceof KeeperAction.Send send) {
+        transport.tell(send.to(), send.message());
+      } else if (action instanceof KeeperAction.ProposeAcquire acquire) {
+        propose(
+            new RegistryCommand.AcquireKeeper(
+                acquire.domain(), acquire.instance(), acquire.expected()),
+            result -> lease.acquireResult(acquire.number(), result, clock.nowMillis()));
+      } else if (action instanceof KeeperAction.ProposeRenew renew) {
+        propose(
+            new RegistryCommand.RenewKeeper(renew.domain(), renew.instance(), renew.term()),
+            result -> lease.renewResult(renew.number(), result, clock.nowMillis()));
+      } else if (action instanceof KeeperAction.AcknowledgeSet acknowledge) {
+        propose(
+            new RegistryCommand.AcknowledgeKeepers(
+                acknowledge.domain(),
+                acknowledge.instance(),
+                acknowledge.term(),
+                acknowledge.version()),
+            result -> lease.officeObserved(result.office(), clock.nowMillis()));
+      } else if (action instanceof KeeperAction.TookOffice took) {
+        LOG.info("keeper of failure domain {} under term {}", domain, took.term());
+      } else if (action instanceof KeeperAction.LostOffice lost) {
+        LOG.info("no longer keeper of failure domain {} under term {}", domain, lost.term());
+        workers.clear();
+      }
+    }
+  }
+
+  private void propose(
+      RegistryCommand.KeeperCommand command,
+      java.util.function.Function<QuorumResult, List<KeeperAction>> onResult) {
+    quorum
+        .propose(command)
+        .subscribe(
+            result -> duty.offer(() -> run(onResult.apply(result))),
+            error -> LOG.debug("the quorum did not answer {}", command, error));
+  }
+
+  // Actions of the scheduler
+
+  private void perform(List<SchedulerAction> actions) {
+    for (SchedulerAction action : actions) {
+      if (action instanceof SchedulerAction.Reserve reserve) {
+        commands.reserve(reserve, this::reserveReply);
+      } else if (action instanceof SchedulerAction.Start start) {
+        commands.start(start, this::startReply);
+      } else if (action instanceof SchedulerAction.Release release) {
+        commands.release(release);
+      } else if (action instanceof SchedulerAction.Stop stop) {
+        commands.stop(stop);
+      } else if (action instanceof SchedulerAction.JobChanged change) {
+        jobChanged(change);
+      } else if (action instanceof SchedulerAction.GuaranteeChanged guarantee) {
+        LOG.warn(
+            "guarantee of customer {} ({}) lacks {} blocks in failure domain {}",
+            guarantee.customer(),
+            guarantee.shape(),
+            guarantee.missingBlocks(),
+            domain);
+      }
+    }
+  }
+
+  private void jobChanged(SchedulerAction.JobChanged change) {
+    jobs.changed(change);
+    metrics.count("primrosegauge.job.changes", "job", change.reason());
+    if (change.phase() == JobPhase.FAILED || change.reason() == JobReason.PREEMPTED) {
+      metrics.refused("job", change.reason());
+    }
+    LOG.debug(
+        "job {} attempt {} is {}: {}",
+        change.job(),
+        change.attempt(),
+        change.phase(),
+        change.reason().label());
+  }
+
+  private void reserveReply(TaskId task, boolean accepted) {
+    duty.offer(() -> perform(scheduler.reserveReply(task, accepted, clock.nowMillis())));
+  }
+
+  private void startReply(TaskId task, boolean accepted) {
+    duty.offer(() -> perform(scheduler.startReply(task, accepted, clock.nowMillis())));
+  }
+
+  /** Runs a query on the duty's thread. */
+  <T> Mono<T> query(Callable<T> query) {
+    return duty.ask(query);
+  }
+}
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryService.java
@@ -0,0 +1,354 @@
+package org.primrosegauge.node.log;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+import org.primrosegauge.core.ErrorKind;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.registry.AcceptedConfiguration;
+import org.primrosegauge.core.registry.ContentDigest;
+import org.primrosegauge.core.registry.HistoryEntry;
+import org.primrosegauge.core.registry.RegistryCommand;
+import org.primrosegauge.core.registry.RegistryResult;
+import org.primrosegauge.node.transport.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Access to the registry from any instance: proposals find the leader, and the view of an instance
+ * that is no voter follows by asking others once a second for what is new.
+ *
+ * <p>Thread-safe. The view's version never goes back. Life-cycle: {@link #attach} on a voter, then
+ * {@link #pull} at an interval on every other instance.
+ *
+ * @since 0.1
+ */
+public final class RegistryService {
+
+  private static final Logger LOG = LoggerFactory.getLogger(RegistryService.class);
+  private static final Duration ASK_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration PROPOSAL_TIMEOUT = Duration.ofSeconds(5);
+  private static final Duration RETRY_PAUSE = Duration.ofMillis(150);
+
+  /** Largest configuration, in bytes of its text. */
+  public static final int MAX_CONTENT_BYTES = 4 * 1024 * 1024;
+
+  private static final int INFLATE_BUFFER_BYTES = 16 * 1024;
+
+  private final InstanceId self;
+  private final PeerTransport transport;
+  private final List<InstanceId> voters;
+  private final List<InstanceId> sources;
+  private final RegistryCodec codec = new RegistryCodec();
+  private final AtomicReference<RegistryView> view = new AtomicReference<>(RegistryView.NONE);
+  private final List<Consumer<RegistryView>> listeners = new CopyOnWriteArrayList<>();
+  private final AtomicInteger nextSource = new AtomicInteger();
+  private volatile LogDuty log;
+  private volatile InstanceId likelyLeader;
+
+  /**
+   * Creates the service.
+   *
+   * @param voters instances that keep the log
+   * @param neighbours other instances of the own failure domain, asked when no voter answers
+   * @since 0.1
+   */
+  public RegistryService(
+      InstanceId self,
+      PeerTransport transport,
+      List<InstanceId> voters,
+      List<InstanceId> neighbours) {
+    this.self = self;
+    this.transport = transport;
+    this.voters = List.copyOf(voters);
+    this.sources = new ArrayList<>(voters);
+    this.sources.addAll(neighbours);
+    this.sources.remove(self);
+    // Instances start at different sources, so that the voters share the load.
+    this.nextSource.set(Math.floorMod(self.hashCode(), Math.max(1, sources.size())));
+    transport.onAsk(RegistryMessage.Question.class, (from, question) -> answer(question));
+  }
+
+  /**
+   * Connects the log of a voter.
+   *
+   * @since 0.1
+   */
+  public void attach(LogDuty duty) {
+    log = duty;
+  }
+
+  // Accessors
+
+  /**
+   * Returns what this instance knows of the registry.
+   *
+   * @since 0.1
+   */
+  public RegistryView view() {
+    return view.get();
+  }
+
+  /**
+   * Returns the leader, as known; null when none is known.
+   *
+   * @since 0.1
+   */
+  public InstanceId leader() {
+    return log == null ? likelyLeader : log.leader();
+  }
+
+  /**
+   * Adds a function that is told of each new view.
+   *
+   * @since 0.1
+   */
+  public void onView(Consumer<RegistryView> listener) {
+    listeners.add(listener);
+  }
+
+  // Main API
+
+  /**
+   * Takes over a view if it is newer.
+   *
+   * @since 0.1
+   */
+  public void update(RegistryView newer) {
+    RegistryView before = view.getAndUpdate(old -> newer.version() > old.version() ? newer : old);
+    if (newer.version() > before.version()) {
+      listeners.forEach(listener -> listener.accept(newer));
+    }
+  }
+
+  /**
+   * Proposes a command to the leader, wherever it is.
+   *
+   * @return the result once it is committed; UNAVAILABLE when it was not proposed; OUTCOME_UNKNOWN
+   *     when it may have been
+   * @since 0.1
+   */
+  public Mono<RegistryResult> propose(RegistryCommand command) {
+    byte[] bytes = codec.write(command);
+    return Mono.defer(() -> proposeOnce(bytes, command))
+        .retryWhen(
+            reactor.util.retry.Retry.fixedDelay(Long.MAX_VALUE, RETRY_PAUSE)
+                .filter(RegistryService::wasNotProposed))
+        .timeout(PROPOSAL_TIMEOUT, Mono.error(RegistryService::noQuorum));
+  }
+
+  /**
+   * Returns the latest changes of the configuration, oldest first.
+   *
+   * @since 0.1
+   */
+  public Mono<List<HistoryEntry>> history(int most) {
+    LogDuty own = log;
+    if (own != null) {
+      return own.history(most);
+    }
+    return Flux.fromIterable(voters)
+        .concatMap(
+            voter ->
+                transport
+                    .ask(
+                        voter,
+                        new RegistryMessage.AskHistory(most),
+                        RegistryMessage.History.class,
+                        ASK_TIMEOUT)
+                    .onErrorResume(error -> Mono.empty()))
+        .next()
+        .map(RegistryMessage.History::entries)
+        .switchIfEmpty(Mono.error(RegistryService::noQuorum));
+  }
+
+  /**
+   * Asks the next source for what is new. Does nothing on a voter, which has its own log.
+   *
+   * @since 0.1
+   */
+  public void pull() {
+    if (log != null || sources.isEmpty()) {
+      return;
+    }
+    int at = nextSource.get();
+    InstanceId source = sources.get(Math.floorMod(at, sources.size()));
+    RegistryView known = view.get();
+    transport
+        .ask(
+            source,
+            new RegistryMessage.Pull(known.version(), known.configuration().revision()),
+            RegistryMessage.class,
+            ASK_TIMEOUT)
+        .subscribe(this::pulled, error -> nextSource.compareAndSet(at, at + 1));
+  }
+
+  // Internals
+
+  private void pulled(RegistryMessage answer) {
+    if (!(answer instanceof RegistryMessage.View next)) {
+      return;
+    }
+    try {
+      AcceptedConfiguration configuration =
+          next.content() == null
+              ? view.get().configuration()
+              : new AcceptedConfiguration(
+                  next.revision(), new ContentDigest(next.digest()), inflate(next.content()));
+      if (configuration.revision().equals(next.revision())) {
+        update(new RegistryView(next.version(), configuration, next.switches(), next.offices()));
+      }
+    } catch (DataFormatException e) {
+      LOG.warn("a view of the registry cannot be read", e);
+    }
+  }
+
+  private Mono<RegistryResult> proposeOnce(byte[] bytes, RegistryCommand command) {
+    LogDuty own = log;
+    if (own != null && self.equals(own.leader())) {
+      return own.propose(command);
+    }
+    InstanceId receiver = own != null ? own.leader() : likelyLeader;
+    if (receiver == null || receiver.equals(self)) {
+      receiver = voters.get(Math.floorMod(nextSource.getAndIncrement(), voters.size()));
+    }
+    InstanceId asked = receiver;
+    return transport
+        .ask(asked, new RegistryMessage.Propose(bytes), RegistryMessage.class, ASK_TIMEOUT)
+        .doOnError(error -> likelyLeader = null)
+        .flatMap(answer -> read(asked, answer));
+  }
+
+  private Mono<RegistryResult> read(InstanceId asked, RegistryMessage answer) {
+    if (answer instanceof RegistryMessage.Applied applied) {
+      likelyLeader = asked;
+      return Mono.fromCallable(() -> codec.readResult(applied.result()));
+    }
+    if (answer instanceof RegistryMessage.NotApplied refused) {
+      likelyLeader = asked.equals(refused.leader()) ? null : refused.leader();
+      return Mono.error(refused.outcomeUnknown() ? outcomeUnknown() : noQuorum());
+    }
+    return Mono.error(noQuorum());
+  }
+
+  private Mono<RegistryMessage> answer(RegistryMessage.Question question) {
+    if (question instanceof RegistryMessage.Pull pull) {
+      return Mono.just(viewFor(pull));
+    }
+    LogDuty own = log;
+    if (own == null) {
+      return Mono.just(new RegistryMessage.NotApplied(likelyLeader, false));
+    }
+    if (question instanceof RegistryMessage.Propose propose) {
+      return answerProposal(own, propose);
+    }
+    return own.history(((RegistryMessage.AskHistory) question).most())
+        .map(RegistryMessage.History::new);
+  }
+
+  private Mono<RegistryMessage> answerProposal(LogDuty own, RegistryMessage.Propose propose) {
+    return Mono.fromCallable(() -> codec.readCommand(propose.command()))
+        .flatMap(own::propose)
+        .<RegistryMessage>map(result -> new RegistryMessage.Applied(codec.write(result)))
+        .onErrorResume(
+            error -> Mono.just(new RegistryMessage.NotApplied(own.leader(), isUnknown(error))));
+  }
+
+  private RegistryMessage viewFor(RegistryMessage.Pull pull) {
+    RegistryView mine = view.get();
+    if (mine.version() <= pull.knownVersion()) {
+      return new RegistryMessage.NothingNew();
+    }
+    AcceptedConfiguration configuration = mine.configuration();
+    boolean known = configuration.revision().equals(pull.knownRevision());
+    return new RegistryMessage.View(
+        mine.version(),
+        configuration.revision(),
+        configuration.digest().value(),
+        known ? null : deflate(configuration.content()),
+        mine.switches(),
+        mine.offices());
+  }
+
+  private static boolean wasNotProposed(Throwable error) {
+    return error instanceof PrimrosegaugeException known && known.kind() == ErrorKind.UNAVAILABLE;
+  }
+
+  private static boolean isUnknown(Throwable error) {
+    return error instanceof PrimrosegaugeException known
+        && known.kind() == ErrorKind.OUTCOME_UNKNOWN;
+  }
+
+  private static PrimrosegaugeException noQuorum() {
+    return new PrimrosegaugeException(
+        ErrorKind.UNAVAILABLE,
+        "no quorum of the voters can be reached from here",
+        "come back in a few seconds, or ask an instance on the other side of the cut",
+        "");
+  }
+
+  private static PrimrosegaugeException outcomeUnknown() {
+    return new PrimrosegaugeException(
+        ErrorKind.OUTCOME_UNKNOWN,
+        "the leader changed before the outcome was known",
+        "send the same request id again: it gets the first answer",
+        "");
+  }
+
+  static byte[] deflate(String content) {
+    Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+    try {
+      deflater.setInput(content.getBytes(StandardCharsets.UTF_8));
+      deflater.finish();
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      byte[] buffer = new byte[INFLATE_BUFFER_BYTES];
+      while (!deflater.finished()) {
+        out.write(buffer, 0, deflater.deflate(buffer));
+      }
+      return out.toByteArray();
+    } finally {
+      deflater.end();
+    }
+  }
+
+  static String inflate(byte[] compressed) throws DataFormatException {
+    Inflater inflater = new Inflater();
+    try {
+      inflater.setInput(compressed);
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      byte[] buffer = new byte[INFLATE_BUFFER_BYTES];
+      while (!inflater.finished()) {
+        int length = inflater.inflate(buffer);
+        if (length == 0 || out.size() + length > MAX_CONTENT_BYTES) {
+          throw new DataFormatException("cut off or larger than " + MAX_CONTENT_BYTES + " bytes");
+        }
+        out.write(buffer, 0, length);
+      }
+      return out.toString(StandardCharsets.UTF_8);
+    } finally {
+      inflater.end();
+    }
+  }
+
+  /**
+   * Returns the revision in force on this instance.
+   *
+   * @since 0.1
+   */
+  public Revision inForce() {
+    return view.get().configuration().revision();
+  }
+}
--- a/primrosegauge-wire/src/main/java/org/primrosegauge/wire/WireMappers.java
+++ b/primrosegauge-wire/src/main/java/org/primrosegauge/wire/WireMappers.java
@@ -1,10 +1,13 @@
 package org.primrosegauge.wire;
 
+import com.fasterxml.jackson.annotation.JsonAutoDetect;
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.primrosegauge.wire.impl.ValueTypesModule;
 
@@ -29,6 +32,8 @@
   public static ObjectMapper json() {
     return JsonMapper.builder()
         .addModule(new ValueTypesModule())
+        .addModule(new Jdk8Module())
+        .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
         .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
         .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
         .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
@@ -46,8 +51,10 @@
   public static ObjectMapper messagePack() {
     ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
     mapper.registerModule(new ValueTypesModule());
+    mapper.registerModule(new Jdk8Module());
     mapper.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     mapper.setDefaultPropertyInclusion(JsonInclude.Include.NON_NULL);
+    mapper.setVisibility(PropertyAccessor.IS_GETTER, JsonAutoDetect.Visibility.NONE);
     return mapper;
   }
 }
--- a/primrosegauge-wire/src/main/java/org/primrosegauge/wire/impl/ValueTypesModule.java
+++ b/primrosegauge-wire/src/main/java/org/primrosegauge/wire/impl/ValueTypesModule.java
@@ -24,6 +24,9 @@
 import org.primrosegauge.core.ServiceId;
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.Term;
+import org.primrosegauge.core.log.LogIndex;
+import org.primrosegauge.core.log.StorageId;
+import org.primrosegauge.core.registry.ContentDigest;
 
 /** Maps the core's value types to plain strings and numbers. Stateless once created. */
 public final class ValueTypesModule extends SimpleModule {
@@ -42,6 +45,9 @@
     addId(RequestId.class, RequestId::new);
     addId(ServiceId.class, ServiceId::new);
     addId(TargetId.class, TargetId::new);
+    addId(StorageId.class, StorageId::new);
+    addId(ContentDigest.class, ContentDigest::new);
+    addNumber(LogIndex.class, LogIndex::new, LogIndex::number);
     addNumber(Term.class, Term::new, Term::number);
     addNumber(Revision.class, Revision::new, Revision::number);
   }
