--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
@@ -0,0 +1,346 @@
+package org.primrosegauge.node.daemon;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.keeper.KeeperOffice;
+import org.primrosegauge.core.keeper.cfg.KeeperSettings;
+import org.primrosegauge.core.log.cfg.LogSettings;
+import org.primrosegauge.core.registry.RegistryCommand;
+import org.primrosegauge.core.registry.RegistryResult;
+import org.primrosegauge.core.settings.SettingsException;
+import org.primrosegauge.core.site.SiteConfiguration;
+import org.primrosegauge.node.cfg.NodeSettings;
+import org.primrosegauge.node.cfg.PeerSettings;
+import org.primrosegauge.node.duty.Duty;
+import org.primrosegauge.node.duty.MonotonicClock;
+import org.primrosegauge.node.http.HttpApi;
+import org.primrosegauge.node.job.JobApi;
+import org.primrosegauge.node.keeper.KeeperDuty;
+import org.primrosegauge.node.log.LogDuty;
+import org.primrosegauge.node.log.LogStorage;
+import org.primrosegauge.node.log.RegistryService;
+import org.primrosegauge.node.log.RegistryView;
+import org.primrosegauge.node.membership.Membership;
+import org.primrosegauge.node.metrics.NodeMetrics;
+import org.primrosegauge.node.operator.DomainOrders;
+import org.primrosegauge.node.operator.OperatorApi;
+import org.primrosegauge.node.target.TargetApi;
+import org.primrosegauge.node.target.WorkerClient;
+import org.primrosegauge.node.transport.PeerAddress;
+import org.primrosegauge.node.transport.PeerSecurity;
+import org.primrosegauge.node.transport.PeerTransport;
+import org.primrosegauge.wire.FrameCodec;
+import org.primrosegauge.wire.api.StatusView;
+import org.primrosegauge.wire.toml.SiteTomlReader;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.netty.http.server.HttpServer;
+
+/**
+ * One instance: all duties and servers of a process.
+ *
+ * <p>Life-cycle: created from settings, {@link #start}, then {@link #stop} for a graceful end.
+ *
+ * @since 0.1
+ */
+public final class InstanceDaemon {
+
+  private static final Logger LOG = LoggerFactory.getLogger(InstanceDaemon.class);
+  private static final long HOUSEKEEPING_MILLIS = 250;
+  private static final long PULL_MILLIS = 1_000;
+  private static final Duration WORKER_TIMEOUT = Duration.ofSeconds(2);
+  private static final int WORKER_LEASES_PER_LEASE = 5;
+  private static final long DRIFT_PPM = 10_000;
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final NodeSettings settings;
+  private final InstanceId self;
+  private final FailureDomainId domain;
+  private final MonotonicClock clock = MonotonicClock.system();
+  private final NodeMetrics metrics = new NodeMetrics();
+  private final HttpApi http = new HttpApi();
+  private final PeerTransport transport;
+  private final RegistryService registry;
+  private final WorkerClient workerClient = new WorkerClient(WORKER_TIMEOUT);
+  private final KeeperDuty keeper;
+  private final Membership membership;
+  private final DomainOrders orders;
+  private final Duty housekeeping;
+  private final LogDuty log;
+  private final KeeperSettings keeperSettings;
+  private volatile Revision inForce = Revision.NONE;
+  private volatile boolean storageFailed;
+  private boolean keepersConfigured;
+  private long nextPull;
+
+  /**
+   * Creates an instance that does not run yet.
+   *
+   * @param storage durable storage of the log; used on voters only
+   * @throws PrimrosegaugeException when the storage cannot be recovered
+   * @since 0.1
+   */
+  public InstanceDaemon(NodeSettings settings, LogStorage storage) throws PrimrosegaugeException {
+    this.settings = settings;
+    this.self = settings.instance().id();
+    this.domain = settings.instance().failureDomain();
+    this.keeperSettings =
+        new KeeperSettings(
+            settings.timeouts().leaseMillis(), settings.timeouts().heartbeatMillis(), DRIFT_PPM);
+    this.transport =
+        new PeerTransport(self, new FrameCodec(MessageFamilies.TYPES), metrics, PeerSecurity.NONE);
+    this.registry = new RegistryService(self, transport, voters(), neighbours());
+    this.keeper =
+        new KeeperDuty(
+            domain,
+            self,
+            keeperSettings,
+            settings.limits().ringEvents(),
+            WORKER_LEASES_PER_LEASE * settings.timeouts().leaseMillis(),
+            clock,
+            transport,
+            this::proposeForKeeper,
+            workerClient,
+            metrics);
+    this.membership =
+        new Membership(
+            self,
+            "http://" + settings.http().advertised(),
+            members(),
+            System.currentTimeMillis(),
+            transport,
+            clock,
+            this::ownState);
+    this.orders = new DomainOrders(membership, registry, keeper, transport);
+    this.housekeeping =
+        new Duty(
+            "housekeeping",
+            settings.limits().ringEvents(),
+            HOUSEKEEPING_MILLIS,
+            clock,
+            this::keepHouse);
+    this.log = settings.instance().voter() ? createLog(storage) : null;
+    registry.onView(this::viewChanged);
+  }
+
+  // Life-cycle
+
+  /**
+   * Starts all duties and servers.
+   *
+   * @since 0.1
+   */
+  public void start() {
+    addRoutes();
+    transport.start(settings.peer().listen().host(), settings.peer().listen().port());
+    for (PeerSettings peer : settings.peers()) {
+      transport.connect(new PeerAddress(peer.id(), peer.address().host(), peer.address().port()));
+    }
+    if (log != null) {
+      registry.attach(log);
+      log.start();
+    }
+    keeper.start();
+    housekeeping.start();
+    http.start(
+        HttpServer.create(), settings.http().listen().host(), settings.http().listen().port());
+    LOG.info(
+        "instance {} of failure domain {} serves on {}",
+        self,
+        domain,
+        settings.http().advertised());
+  }
+
+  /**
+   * Ends the instance gracefully: it refuses new work, finishes what is in flight up to the drain
+   * time, then closes.
+   *
+   * @return whether everything in flight was finished
+   * @since 0.1
+   */
+  public boolean stop() {
+    final boolean finished =
+        Boolean.TRUE.equals(
+            http.drain(Duration.ofMillis(settings.timeouts().drainMillis())).block());
+    housekeeping.close();
+    keeper.close();
+    if (log != null) {
+      log.close();
+    }
+    http.close();
+    transport.close();
+    workerClient.close();
+    LOG.info("instance {} stopped, everything in flight finished: {}", self, finished);
+    return finished;
+  }
+
+  // Internals: settings
+
+  private List<InstanceId> voters() {
+    TreeSet<InstanceId> voters = new TreeSet<>();
+    if (settings.instance().voter()) {
+      voters.add(self);
+    }
+    settings.peers().stream().filter(PeerSettings::voter).forEach(peer -> voters.add(peer.id()));
+    return List.copyOf(voters);
+  }
+
+  private List<InstanceId> neighbours() {
+    return settings.peers().stream()
+        .filter(peer -> peer.failureDomain().equals(domain))
+        .map(PeerSettings::id)
+        .filter(peer -> !peer.equals(self))
+        .toList();
+  }
+
+  private Map<InstanceId, FailureDomainId> members() {
+    Map<InstanceId, FailureDomainId> members = new LinkedHashMap<>();
+    settings.peers().forEach(peer -> members.put(peer.id(), peer.failureDomain()));
+    members.put(self, domain);
+    return members;
+  }
+
+  private LogDuty createLog(LogStorage storage) throws PrimrosegaugeException {
+    int election = (int) settings.timeouts().electionMillis();
+    RandomGenerator random =
+        RandomGeneratorFactory.<RandomGenerator>of("L64X128MixRandom").create();
+    return new LogDuty(
+        LogSettings.of(self, voters())
+            .withTimings((int) settings.timeouts().heartbeatMillis(), election, 2 * election),
+        keeperSettings,
+        settings.limits().ringEvents(),
+        storage,
+        random,
+        clock,
+        transport,
+        registry::update,
+        failure -> storageFailed = true);
+  }
+
+  // Internals: events
+
+  private reactor.core.publisher.Mono<org.primrosegauge.core.keeper.QuorumResult> proposeForKeeper(
+      RegistryCommand.KeeperCommand command) {
+    return registry
+        .propose(command)
+        .ofType(RegistryResult.KeeperDecided.class)
+        .map(RegistryResult.KeeperDecided::decision);
+  }
+
+  private void viewChanged(RegistryView view) {
+    for (KeeperOffice office : view.offices()) {
+      if (office.domain().equals(domain)) {
+        keeper.officeObserved(office);
+      }
+    }
+    if (view.configuration().revision().compareTo(inForce) > 0) {
+      putInForce(view);
+    }
+  }
+
+  private void putInForce(RegistryView view) {
+    try {
+      SiteConfiguration configuration =
+          SiteTomlReader.read(
+              "revision-" + view.configuration().revision(), view.configuration().content());
+      if (keeper.configured(configuration)) {
+        inForce = view.configuration().revision();
+        LOG.info("configuration revision {} is in force", inForce);
+      }
+    } catch (SettingsException e) {
+      LOG.error("accepted configuration {} cannot be read", view.configuration().revision(), e);
+    }
+  }
+
+  private Membership.OwnState ownState() {
+    return new Membership.OwnState(
+        isReady(), keeper.term(), inForce, keeper.switchInForce(), keeper.freeAccelerators());
+  }
+
+  private boolean isReady() {
+    return !http.isDraining() && !storageFailed;
+  }
+
+  private void keepHouse(long nowMillis) {
+    membership.tick(nowMillis);
+    if (nowMillis >= nextPull) {
+      nextPull = nowMillis + PULL_MILLIS;
+      registry.pull();
+      orders.tick();
+      configureKeepers();
+      viewChanged(registry.view());
+    }
+  }
+
+  /**
+   * The leader records the instance sets of the domains once, when the log is new or they change.
+   */
+  private void configureKeepers() {
+    if (keepersConfigured || !self.equals(registry.leader())) {
+      return;
+    }
+    keepersConfigured = true;
+    for (FailureDomainId other : membership.domains()) {
+      List<InstanceId> members = new ArrayList<>(membership.membersOf(other));
+      registry
+          .propose(new RegistryCommand.ConfigureKeepers(other, members))
+          .subscribe(
+              result -> LOG.debug("instance set of {}: {}", other, result),
+              error -> housekeeping.offer(() -> keepersConfigured = false));
+    }
+  }
+
+  // Internals: HTTP
+
+  private void addRoutes() {
+    http.routeAlways(
+            HttpApi.Method.GET,
+            "/metrics",
+            x -> x.sendText(OK, "text/plain; version=0.0.4", metrics.prometheusText()))
+        .routeAlways(
+            HttpApi.Method.GET,
+            "/healthz",
+            x -> x.sendText(storageFailed ? UNAVAILABLE : OK, "text/plain", healthText()))
+        .routeAlways(
+            HttpApi.Method.GET,
+            "/readyz",
+            x -> x.sendText(isReady() ? OK : UNAVAILABLE, "text/plain", readyText()));
+    new TargetApi(membership, keeper).addTo(http);
+    new JobApi(membership, transport).addTo(http);
+    new OperatorApi(membership, registry, orders, voters(), this::status).addTo(http);
+  }
+
+  private String healthText() {
+    return storageFailed ? "storage failed\n" : "ok\n";
+  }
+
+  private String readyText() {
+    return isReady() ? "ready\n" : "not ready\n";
+  }
+
+  private StatusView status() {
+    return new StatusView(
+        self,
+        domain,
+        isReady(),
+        registry.leader(),
+        membership.keeperOf(domain).orElse(null),
+        keeper.term(),
+        inForce,
+        keeper.workers(),
+        0,
+        keeper.queuedJobs(),
+        keeper.runningJobs());
+  }
+}
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.Callable;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
@@ -57,7 +56,6 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(KeeperDuty.class);
   private static final long TICK_MILLIS = 50;
-  private static final int OUT_SWITCH_UNKNOWN = 0;
 
   private final FailureDomainId domain;
   private final MonotonicClock clock;
@@ -71,9 +69,11 @@
   private final CommandSender commands;
   private final JobTable jobs;
   private volatile Term publishedTerm = Term.NONE;
-  private volatile Revision publishedSwitch = new Revision(OUT_SWITCH_UNKNOWN);
+  private volatile Revision publishedSwitch = Revision.NONE;
   private volatile int publishedWorkers;
   private volatile int publishedFree;
+  private volatile int publishedQueued;
+  private volatile int publishedRunning;
 
   /**
    * Creates the duty.
@@ -166,6 +166,24 @@
     return publishedFree;
   }
 
+  /**
+   * Returns the jobs that wait in the domain.
+   *
+   * @since 0.1
+   */
+  public int queuedJobs() {
+    return publishedQueued;
+  }
+
+  /**
+   * Returns the jobs that run in the domain.
+   *
+   * @since 0.1
+   */
+  public int runningJobs() {
+    return publishedRunning;
+  }
+
   // Events; may be called from any thread
 
   /**
@@ -301,6 +319,8 @@
   private void publish(long nowMillis) {
     publishedTerm = lease.mayStart(nowMillis) ? lease.term() : Term.NONE;
     publishedWorkers = workers.size();
+    publishedQueued = jobs.count(JobPhase.QUEUED);
+    publishedRunning = jobs.count(JobPhase.RUNNING);
     publishedFree =
         workers.all().values().stream()
             .mapToInt(
@@ -400,9 +420,4 @@
   private void startReply(TaskId task, boolean accepted) {
     duty.offer(() -> perform(scheduler.startReply(task, accepted, clock.nowMillis())));
   }
-
-  /** Runs a query on the duty's thread. */
-  <T> Mono<T> query(Callable<T> query) {
-    return duty.ask(query);
-  }
 }
