State-machine test of the replicated log, and two faults it found

Cause: the replica had no test. Found and mended: (1) the leader accepted the removal of a voter that left only voters with lost disks: refused now as QUORUM_AT_RISK; (2) a leader that removed itself and crashed could never lead again, while the remaining voters lacked its entry and were refused: a voter of the membership before an open change may be a candidate (Ongaro 2014, section 4.2.2). Ruled out as faults of the code: schedules that lose a quorum's disks within one election timeout of a membership change; the simulation does not take these steps.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogAction.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogAction.java
@@ -120,6 +120,8 @@
       CHANGE_IN_PROGRESS,
       /** The learner has not caught up. */
       NOT_CAUGHT_UP,
+      /** After the change, fewer voters than a quorum would answer and hold what is committed. */
+      QUORUM_AT_RISK,
       /** The change names an unknown member, leaves no voter or exceeds the number of voters. */
       INVALID_CHANGE
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -403,14 +403,18 @@
     if (!isAddition && members.find(change.instance()).isEmpty()) {
       return Reason.INVALID_CHANGE;
     }
-    int voters = members.with(change).voters().size();
+    Membership changed = members.with(change);
+    int voters = changed.voters().size();
     if (voters == 0 || voters > Membership.MAX_VOTERS) {
       return Reason.INVALID_CHANGE;
     }
     boolean isPromotion = change instanceof MembershipChange.Promote;
     boolean isLate =
         isPromotion && !leader.isCaughtUp(members.find(change.instance()).orElseThrow(), nowMillis);
-    return isLate ? Reason.NOT_CAUGHT_UP : null;
+    if (isLate) {
+      return Reason.NOT_CAUGHT_UP;
+    }
+    return leader.hasQuorumIn(changed, nowMillis) ? null : Reason.QUORUM_AT_RISK;
   }
 
   private void readmit(long nowMillis) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Election.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Election.java
@@ -38,7 +38,19 @@
 
   /** Tells whether a replica may be a candidate at all. */
   public static boolean isEligible(ReplicaContext context) {
-    return context.log().isEmpty() ? isStarter(context) : context.isVoter();
+    return context.log().isEmpty()
+        ? isStarter(context)
+        : context.isVoter() || wasVoterBeforeOpenChange(context);
+  }
+
+  /**
+   * A leader that removed itself may have been the only one to log that change. It must be able to
+   * lead once more, because the remaining voters lack the entry and it refuses them for that.
+   */
+  private static boolean wasVoterBeforeOpenChange(ReplicaContext context) {
+    MemoryLog log = context.log();
+    long change = log.membershipIndex();
+    return change > context.committed() && log.membershipAt(change - 1).isVoter(context.self());
   }
 
   private static boolean isStarter(ReplicaContext context) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
@@ -167,6 +167,16 @@
         && isFresh(progress, nowMillis);
   }
 
+  /** Tells whether a quorum of a membership answers and holds everything that is committed. */
+  public boolean hasQuorumIn(Membership membership, long nowMillis) {
+    long present =
+        membership.members().stream()
+            .filter(Member::isVoter)
+            .filter(voter -> voter.replica().equals(context.self()) || isCaughtUp(voter, nowMillis))
+            .count();
+    return present >= membership.quorum();
+  }
+
   /** Returns the replica that answers for a voter from another data folder; null when none does. */
   public ReplicaId replacementOf(Member member, long nowMillis) {
     InstanceId instance = member.replica().instance();
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogOracle.java
@@ -0,0 +1,77 @@
+package org.primrosegauge.core.log;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.RequestId;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.registry.RegistryResult;
+
+/** What must hold in every run, kept as plainly as possible. */
+final class LogOracle {
+
+  private final Map<Term, InstanceId> leaders = new HashMap<>();
+  private final List<LogEntry> committed = new ArrayList<>();
+  private final Map<RequestId, RegistryResult> answers = new HashMap<>();
+  private final Map<InstanceId, Revision> revisions = new HashMap<>();
+  private long acknowledged;
+
+  /** At most one leader in a term. */
+  void leads(InstanceId instance, Term term) {
+    InstanceId first = leaders.putIfAbsent(term, instance);
+    assertWithMessage("leaders of term %s", term).that(instance).isEqualTo(orElse(first, instance));
+  }
+
+  /** Every replica commits the same entries in the same order. */
+  void commits(InstanceId instance, LogEntry entry, boolean isLeader) {
+    int position = (int) entry.index().number() - 1;
+    if (position < committed.size()) {
+      assertWithMessage("entry committed by %s", instance)
+          .that(entry)
+          .isEqualTo(committed.get(position));
+    } else {
+      assertWithMessage("gap at %s", instance).that(position).isEqualTo(committed.size());
+      committed.add(entry);
+    }
+    if (isLeader) {
+      acknowledged = Math.max(acknowledged, entry.index().number());
+    }
+  }
+
+  /** A read under the lease sees all that any leader has acknowledged. */
+  void reads(InstanceId instance, LogIndex index) {
+    assertWithMessage("read of %s", instance).that(index.number()).isAtLeast(acknowledged);
+  }
+
+  /** A request id has one answer, whichever replica applies it and however often. */
+  void answers(RequestId request, RegistryResult result) {
+    RegistryResult first = answers.putIfAbsent(request, result);
+    assertWithMessage("answer to %s", request).that(result).isEqualTo(orElse(first, result));
+  }
+
+  /** The revision in force at an instance never goes back while it runs. */
+  void revision(InstanceId instance, Revision revision) {
+    Revision before = revisions.put(instance, revision);
+    assertWithMessage("revision at %s", instance)
+        .that(revision)
+        .isAtLeast(orElse(before, revision));
+  }
+
+  /** An instance restarted and applies its log anew. */
+  void restarts(InstanceId instance) {
+    revisions.remove(instance);
+  }
+
+  long acknowledged() {
+    return acknowledged;
+  }
+
+  private static <T> T orElse(T value, T other) {
+    return value == null ? other : value;
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplicaTest.java
@@ -0,0 +1,66 @@
+package org.primrosegauge.core.log;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import org.primrosegauge.core.log.LogStep.Kind;
+
+class LogReplicaTest {
+
+  // An election may fail a few times when two candidates collide, and a voter that lost its disk
+  // takes two membership changes to come back.
+  private static final long SETTLE_MILLIS = 20L * LogSimulation.ELECTION_MAX_MILLIS;
+
+  @Property(seed = "20261201", tries = 300)
+  void threeVoters(@ForAll long seed, @ForAll("schedules") List<LogStep> schedule) {
+    run(new LogSimulation(3, 1, seed), schedule);
+  }
+
+  @Property(seed = "20261202", tries = 150)
+  void fiveVoters(@ForAll long seed, @ForAll("schedules") List<LogStep> schedule) {
+    run(new LogSimulation(5, 2, seed), schedule);
+  }
+
+  private static void run(LogSimulation simulation, List<LogStep> schedule) {
+    simulation.runFor(4L * LogSimulation.ELECTION_MAX_MILLIS);
+    schedule.forEach(simulation::step);
+    simulation.heal();
+    simulation.runFor(SETTLE_MILLIS);
+    simulation.proposeAtLeader();
+    simulation.runFor(LogSimulation.ELECTION_MAX_MILLIS);
+    assertWithMessage("settled: " + simulation.describe()).that(simulation.isSettled()).isTrue();
+  }
+
+  @Provide
+  Arbitrary<List<LogStep>> schedules() {
+    Arbitrary<Kind> kinds =
+        Arbitraries.frequency(
+            Tuple.of(30, Kind.RUN),
+            Tuple.of(20, Kind.PROPOSE),
+            Tuple.of(5, Kind.RACE),
+            Tuple.of(5, Kind.CUT_ONE_WAY),
+            Tuple.of(4, Kind.CUT_BOTH_WAYS),
+            Tuple.of(4, Kind.HEAL),
+            Tuple.of(5, Kind.FREEZE),
+            Tuple.of(6, Kind.CRASH),
+            Tuple.of(8, Kind.RESTART),
+            Tuple.of(4, Kind.WIPE),
+            Tuple.of(4, Kind.ADD_LEARNER),
+            Tuple.of(4, Kind.PROMOTE),
+            Tuple.of(2, Kind.REMOVE),
+            Tuple.of(2, Kind.LOSS));
+    Arbitrary<Integer> numbers = Arbitraries.integers().between(0, 99);
+    return Combinators.combine(kinds, numbers, numbers, numbers)
+        .as(LogStep::new)
+        .list()
+        .ofMinSize(40)
+        .ofMaxSize(160);
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
@@ -0,0 +1,394 @@
+package org.primrosegauge.core.log;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.RequestId;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.log.LogAction.Commit;
+import org.primrosegauge.core.log.LogAction.InstallSnapshot;
+import org.primrosegauge.core.log.LogAction.Persist;
+import org.primrosegauge.core.log.LogAction.Send;
+import org.primrosegauge.core.log.cfg.LogSettings;
+
+/**
+ * Replicas on a simulated network with simulated disks, in virtual time. All chance comes from one
+ * seed.
+ */
+final class LogSimulation {
+
+  static final int ELECTION_MAX_MILLIS = 600;
+
+  private static final int HEARTBEAT_MILLIS = 50;
+  private static final int ELECTION_MIN_MILLIS = 300;
+  private static final int TICK_MILLIS = 10;
+  private static final int MAX_DELAY_MILLIS = 30;
+  private static final int MAX_SYNC_MILLIS = 15;
+  private static final int SNAPSHOT_EVERY = 12;
+  private static final double MAX_CLOCK_ERROR = 0.04;
+
+  private record Event(long atMillis, long number, Runnable task) {}
+
+  private record Link(int from, int to) {}
+
+  /** One instance; its process may be down while its disk stays. */
+  private final class Node {
+    final int number;
+    final InstanceId id;
+    final double clockRate;
+    final long clockOffset;
+    SimulatedDisk disk;
+    LogReplica replica;
+    SimulatedRegistry registry;
+    long applied;
+    long frozenUntil;
+    int incarnation;
+
+    Node(int number) {
+      this.number = number;
+      this.id = new InstanceId("i" + number);
+      this.clockRate = 1 + MAX_CLOCK_ERROR * (2 * random.nextDouble() - 1);
+      this.clockOffset = random.nextLong(1_000_000);
+      this.disk = newDisk();
+    }
+
+    long nowMillis() {
+      return clockOffset + (long) (now * clockRate);
+    }
+  }
+
+  private final SplittableRandom random;
+  private final LogOracle oracle = new LogOracle();
+  private final List<Node> nodes = new ArrayList<>();
+  private final List<InstanceId> initialVoters = new ArrayList<>();
+  private final Set<Link> cuts = new HashSet<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
+  private final List<LogEntry> membershipEntries = new ArrayList<>();
+  private int lossPercent = 5;
+  private long now;
+  private long eventNumber;
+  private int storageNumber;
+  private int requestNumber;
+
+  LogSimulation(int voters, int learners, long seed) {
+    this.random = new SplittableRandom(seed);
+    for (int i = 0; i < voters + learners; i++) {
+      nodes.add(new Node(i));
+    }
+    nodes.subList(0, voters).forEach(node -> initialVoters.add(node.id));
+    nodes.forEach(this::start);
+  }
+
+  // Faults
+
+  /** Takes one step of a schedule; the numbers choose among what is possible. */
+  void step(LogStep step) {
+    Node node = nodes.get(step.node() % nodes.size());
+    Node other = nodes.get(step.other() % nodes.size());
+    switch (step.kind()) {
+      case RUN -> runFor(10L * step.amount());
+      case PROPOSE -> propose(node, step.amount());
+      case RACE -> nodes.forEach(each -> propose(each, step.amount()));
+      case CUT_ONE_WAY -> cuts.add(new Link(node.number, other.number));
+      case CUT_BOTH_WAYS -> isolate(node);
+      case HEAL -> cuts.clear();
+      case FREEZE -> node.frozenUntil = Math.max(node.frozenUntil, now + 20L * step.amount());
+      case CRASH -> crash(node);
+      case RESTART -> start(node);
+      case WIPE -> wipe(node);
+      case ADD_LEARNER -> change(new MembershipChange.AddLearner(replicaId(node)));
+      case PROMOTE -> change(new MembershipChange.Promote(node.id));
+      case REMOVE -> change(new MembershipChange.Remove(node.id));
+      case LOSS -> lossPercent = step.amount() % 40;
+      default -> throw new IllegalStateException("unknown step " + step);
+    }
+  }
+
+  private void isolate(Node node) {
+    for (Node other : nodes) {
+      cuts.add(new Link(node.number, other.number));
+      cuts.add(new Link(other.number, node.number));
+    }
+  }
+
+  private void crash(Node node) {
+    if (node.replica != null) {
+      node.disk.crash(random.nextInt(node.disk.unsyncedCount() + 1));
+      node.replica = null;
+      node.incarnation++;
+    }
+  }
+
+  private void start(Node node) {
+    if (node.replica != null) {
+      return;
+    }
+    LogSettings settings =
+        LogSettings.of(node.id, initialVoters)
+            .withTimings(HEARTBEAT_MILLIS, ELECTION_MIN_MILLIS, ELECTION_MAX_MILLIS)
+            .withTransfer(300, 900, 50, 4);
+    node.replica = new LogReplica(settings, node.disk.content(), random.split(), node.nowMillis());
+    node.registry = new SimulatedRegistry(node.id, oracle);
+    node.applied = 0;
+    oracle.restarts(node.id);
+    if (node.disk.snapshot() != null) {
+      install(node, node.disk.snapshot());
+    }
+    node.incarnation++;
+    tick(node, node.incarnation);
+  }
+
+  private void wipe(Node node) {
+    if (mayLose(node)) {
+      crash(node);
+      node.disk = newDisk();
+    }
+  }
+
+  /** Tells whether a quorum of every membership in use or on its way keeps its disks. */
+  private boolean mayLose(Node lost) {
+    boolean isOpenChangeSafe =
+        membershipEntries.stream()
+            .filter(entry -> entry.index().number() > oracle.acknowledged())
+            .allMatch(entry -> keepsQuorum(entry.membership(), lost));
+    return isOpenChangeSafe && isEveryLogSafe(lost);
+  }
+
+  private boolean isEveryLogSafe(Node lost) {
+    for (Node node : nodes) {
+      LogReplica log =
+          new LogReplica(
+              LogSettings.of(node.id, initialVoters), node.disk.content(), random.split(), 0);
+      if (!keepsQuorum(log.membership(), lost)
+          || (node.replica != null && !keepsQuorum(node.replica.membership(), lost))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean keepsQuorum(Membership members, Node lost) {
+    long intact =
+        nodes.stream().filter(node -> node != lost && members.isVoter(replicaId(node))).count();
+    return members.members().isEmpty() || intact >= members.quorum();
+  }
+
+  private void change(MembershipChange change) {
+    for (Node node : nodes) {
+      if (node.replica != null
+          && node.replica.isLeader()
+          && node.frozenUntil <= now
+          && leavesQuorum(node.replica.membership(), change)) {
+        perform(node, node.replica.changeMembership(change, node.nowMillis()));
+      }
+    }
+  }
+
+  /**
+   * Tells whether enough voters keep their disks. The leader refuses a change that puts the quorum
+   * at risk, but it cannot know of a disk that was lost a moment ago.
+   */
+  private boolean leavesQuorum(Membership members, MembershipChange change) {
+    boolean isKnown =
+        change instanceof MembershipChange.AddLearner
+            || members.find(change.instance()).isPresent();
+    return isKnown && keepsQuorum(members.with(change), null);
+  }
+
+  // Operators
+
+  private void propose(Node node, int choice) {
+    if (node.replica == null || node.frozenUntil > now) {
+      return;
+    }
+    // A third of the commands resend an earlier one under its request id.
+    boolean isResent = requestNumber > 0 && choice % 3 == 0;
+    int request = isResent ? choice % requestNumber : requestNumber++;
+    Revision expected = new Revision(request / 2);
+    byte[] command =
+        SimulatedRegistry.encode(new RequestId("r" + request), expected, "content " + request);
+    perform(node, node.replica.propose(command, node.nowMillis()));
+  }
+
+  // Time
+
+  /** Lets virtual time pass. */
+  void runFor(long millis) {
+    long end = now + millis;
+    while (!events.isEmpty() && events.peek().atMillis() <= end) {
+      Event event = events.remove();
+      now = event.atMillis();
+      event.task().run();
+    }
+    now = end;
+  }
+
+  /** Ends all faults. */
+  void heal() {
+    cuts.clear();
+    lossPercent = 0;
+    nodes.forEach(node -> node.frozenUntil = 0);
+    nodes.forEach(this::start);
+  }
+
+  /** Tells whether one leader serves reads and each member has applied the same entries. */
+  boolean isSettled() {
+    List<Node> leaders =
+        nodes.stream()
+            .filter(node -> node.replica.readIndex(node.nowMillis()).isPresent())
+            .toList();
+    return leaders.size() == 1 && isEveryMemberEqualTo(leaders.get(0));
+  }
+
+  private boolean isEveryMemberEqualTo(Node leader) {
+    Membership members = leader.replica.membership();
+    boolean isDurable = oracle.acknowledged() == leader.replica.lastIndex().number();
+    return isDurable
+        && nodes.stream()
+            .filter(node -> members.find(node.id).isPresent())
+            .allMatch(node -> node.applied == leader.applied)
+        && initialVoters.stream()
+            .flatMap(id -> members.find(id).stream())
+            .allMatch(Member::isVoter);
+  }
+
+  /** Proposes a command at the leader. */
+  void proposeAtLeader() {
+    nodes.stream().filter(node -> node.replica.isLeader()).forEach(node -> propose(node, 1));
+  }
+
+  /** Describes the replicas, for the report of a failure. */
+  String describe() {
+    StringBuilder text =
+        new StringBuilder("at " + now + " ms, acknowledged " + oracle.acknowledged());
+    for (Node node : nodes) {
+      text.append("\n").append(replicaId(node));
+      text.append(" term ").append(node.replica.term()).append(" leader ");
+      text.append(node.replica.leader()).append(" last ").append(node.replica.lastIndex());
+      text.append(" applied ").append(node.applied).append(" ").append(node.replica.membership());
+    }
+    return text.toString();
+  }
+
+  private void at(long millis, Runnable task) {
+    events.add(new Event(millis, eventNumber++, task));
+  }
+
+  /** Runs a task of a process, later if it is frozen, never if it has ended. */
+  private void whenAwake(Node node, int incarnation, Runnable task) {
+    if (node.replica == null || node.incarnation != incarnation) {
+      return;
+    }
+    if (node.frozenUntil > now) {
+      at(node.frozenUntil, () -> whenAwake(node, incarnation, task));
+    } else {
+      task.run();
+    }
+  }
+
+  private void tick(Node node, int incarnation) {
+    whenAwake(
+        node,
+        incarnation,
+        () -> {
+          node.replica.readIndex(node.nowMillis()).ifPresent(index -> oracle.reads(node.id, index));
+          perform(node, node.replica.tick(node.nowMillis()));
+          at(now + TICK_MILLIS, () -> tick(node, incarnation));
+        });
+  }
+
+  // Actions
+
+  private void perform(Node node, List<LogAction> actions) {
+    for (LogAction action : actions) {
+      if (action instanceof Send send) {
+        send(node, send);
+      } else if (action instanceof Persist write) {
+        persist(node, write);
+      } else if (action instanceof Commit commit) {
+        commit.entries().forEach(entry -> apply(node, entry));
+      } else if (action instanceof InstallSnapshot install) {
+        install(node, install.snapshot());
+      }
+    }
+    if (node.replica.isLeader()) {
+      oracle.leads(node.id, node.replica.term());
+    }
+    maybeSnapshot(node);
+  }
+
+  private void send(Node from, Send send) {
+    Node to = nodes.stream().filter(node -> node.id.equals(send.to())).findFirst().orElseThrow();
+    int copies = random.nextInt(100) < lossPercent ? 0 : 1 + random.nextInt(20) / 19;
+    for (int i = 0; i < copies; i++) {
+      at(now + 1 + random.nextInt(MAX_DELAY_MILLIS), () -> deliver(from, to, send.message()));
+    }
+  }
+
+  private void deliver(Node from, Node to, LogMessage message) {
+    if (cuts.contains(new Link(from.number, to.number))) {
+      return;
+    }
+    whenAwake(
+        to,
+        to.incarnation,
+        () -> perform(to, to.replica.received(from.id, message, to.nowMillis())));
+  }
+
+  private void persist(Node node, Persist write) {
+    node.disk.write(write);
+    if (write instanceof LogAction.PersistEntries added) {
+      added.entries().stream()
+          .filter(entry -> entry.membership() != null)
+          .forEach(membershipEntries::add);
+    }
+    int incarnation = node.incarnation;
+    at(
+        now + random.nextInt(MAX_SYNC_MILLIS),
+        () ->
+            whenAwake(
+                node,
+                incarnation,
+                () -> {
+                  node.disk.sync(write.write());
+                  perform(node, node.replica.synced(write.write(), node.nowMillis()));
+                }));
+  }
+
+  private void apply(Node node, LogEntry entry) {
+    oracle.commits(node.id, entry, node.replica.isLeader());
+    node.applied = entry.index().number();
+    if (entry.isCommand()) {
+      node.registry.apply(entry);
+    }
+  }
+
+  private void install(Node node, LogSnapshot snapshot) {
+    node.registry.restore(snapshot.state());
+    node.applied = snapshot.index().number();
+  }
+
+  private void maybeSnapshot(Node node) {
+    long before = node.disk.snapshot() == null ? 0 : node.disk.snapshot().index().number();
+    if (node.applied >= before + SNAPSHOT_EVERY && random.nextInt(10) == 0) {
+      byte[] state = node.registry.snapshot();
+      LogIndex index = new LogIndex(node.applied);
+      perform(node, node.replica.snapshotTaken(index, state, node.nowMillis()));
+    }
+  }
+
+  private SimulatedDisk newDisk() {
+    return new SimulatedDisk(new StorageId("s" + storageNumber++));
+  }
+
+  private static ReplicaId replicaId(Node node) {
+    return new ReplicaId(node.id, node.disk.storage());
+  }
+}
