--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/site/SiteLimits.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/site/SiteLimits.java
@@ -37,5 +37,11 @@
   /** Most retries per 100 first tries. */
   public static final int MAX_RETRY_PERCENT = 100;
 
+  /** Most requests at once that one executor may be given. */
+  public static final int MAX_EXECUTOR_SLOTS = 1_024;
+
+  /** Most connections to one executor. */
+  public static final int MAX_EXECUTOR_CONNECTIONS = 10_000;
+
   private SiteLimits() {}
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/site/SiteValidator.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/site/SiteValidator.java
@@ -156,6 +156,20 @@
     checkRange(section, entry, "max-queued", service.maxQueued(), 1, SiteLimits.MAX_QUEUED);
     checkRange(
         section, entry, "retry-percent", service.retryPercent(), 0, SiteLimits.MAX_RETRY_PERCENT);
+    checkRange(
+        section,
+        entry,
+        "executor-slots",
+        service.executorSlots(),
+        1,
+        SiteLimits.MAX_EXECUTOR_SLOTS);
+    checkRange(
+        section,
+        entry,
+        "executor-connections",
+        service.executorConnections(),
+        1,
+        SiteLimits.MAX_EXECUTOR_CONNECTIONS);
   }
 
   private void checkGuarantee(Guarantee guarantee) {
--- /dev/null
+++ b/primrosegauge-operator/src/main/java/org/primrosegauge/operator/examples/package-info.java
@@ -0,0 +1,2 @@
+/** Programs that print the sites in the folder {@code examples}. */
+package org.primrosegauge.operator.examples;
--- a/primrosegauge-wire/src/main/java/org/primrosegauge/wire/toml/SiteKeys.java
+++ b/primrosegauge-wire/src/main/java/org/primrosegauge/wire/toml/SiteKeys.java
@@ -111,6 +111,23 @@
           .withRange(0, SiteLimits.MAX_RETRY_PERCENT)
           .withDefault("10");
 
+  static final SettingKey EXECUTOR_SLOTS =
+      key(
+              Section.SERVICES,
+              "executor-slots",
+              SettingType.NUMBER,
+              "most requests at once that one executor is given, whatever it announces")
+          .withRange(1, SiteLimits.MAX_EXECUTOR_SLOTS)
+          .withDefault("8");
+  static final SettingKey EXECUTOR_CONNECTIONS =
+      key(
+              Section.SERVICES,
+              "executor-connections",
+              SettingType.NUMBER,
+              "most connections at once that all instances open to one executor")
+          .withRange(1, SiteLimits.MAX_EXECUTOR_CONNECTIONS)
+          .withDefault("60");
+
   /** Every key of the site configuration, in the order of the settings page. */
   public static final List<SettingKey> ALL =
       List.of(
@@ -134,7 +151,9 @@
           MAX_BODY,
           TIMEOUT,
           MAX_QUEUED,
-          RETRY_PERCENT);
+          RETRY_PERCENT,
+          EXECUTOR_SLOTS,
+          EXECUTOR_CONNECTIONS);
 
   private SiteKeys() {}
 
--- a/primrosegauge-wire/src/main/java/org/primrosegauge/wire/toml/SiteTomlReader.java
+++ b/primrosegauge-wire/src/main/java/org/primrosegauge/wire/toml/SiteTomlReader.java
@@ -174,7 +174,11 @@
     long timeout = section.millis(SiteKeys.TIMEOUT);
     int maxQueued = (int) section.number(SiteKeys.MAX_QUEUED);
     int retryPercent = (int) section.number(SiteKeys.RETRY_PERCENT);
-    return id.map(
-        value -> new Service(new ServiceId(value), maxBody, timeout, maxQueued, retryPercent));
+    int slots = (int) section.number(SiteKeys.EXECUTOR_SLOTS);
+    int connections = (int) section.number(SiteKeys.EXECUTOR_CONNECTIONS);
+    return id.map(ServiceId::new)
+        .map(
+            value ->
+                new Service(value, maxBody, timeout, maxQueued, retryPercent, slots, connections));
   }
 }
--- a/primrosegauge-wire/src/main/java/org/primrosegauge/wire/toml/SiteTomlWriter.java
+++ b/primrosegauge-wire/src/main/java/org/primrosegauge/wire/toml/SiteTomlWriter.java
@@ -79,6 +79,8 @@
     text(SiteKeys.TIMEOUT, Quantities.formatMillis(service.timeoutMillis()));
     number(SiteKeys.MAX_QUEUED, service.maxQueued());
     number(SiteKeys.RETRY_PERCENT, service.retryPercent());
+    number(SiteKeys.EXECUTOR_SLOTS, service.executorSlots());
+    number(SiteKeys.EXECUTOR_CONNECTIONS, service.executorConnections());
   }
 
   private void begin(SettingKey first) {
--- a/primrosegauge-wire/src/test/java/org/primrosegauge/wire/toml/SiteTomlTest.java
+++ b/primrosegauge-wire/src/test/java/org/primrosegauge/wire/toml/SiteTomlTest.java
@@ -44,6 +44,8 @@
       timeout = "30s"
       max-queued = 256
       retry-percent = 10
+      executor-slots = 8
+      executor-connections = 60
       """;
 
   @Test
