Schedule: guarantees as packed shapes, reclaim, quotas and preemption

Cause: the first version let any job take any capacity, so a customer's guarantee was only as good as luck, and urgent work waited behind borrowers. Ruled out: counting accelerators without places (a claim can then find its block in splinters); counting a claim by the tasks it runs rather than by its whole block (when the job ends, the block that comes back may not lie together); trusting greedy packing alone, since shapes of several workers in one rack can defeat it. Change: a claimed block is pinned at its workers until its last job ends; work that cannot be taken back may run only where all unclaimed blocks can still be packed; claims take capacity back from borrowers by checkpoint, then stop, cheapest loss first. A block that the fleet cannot carry any more is reported at once. Found by the state machine test: when a worker with a claimed block was lost, the block became unclaimed again later, after the report on the fleet had been drawn up, and the next claim had no place. The report is now drawn up again when a block leaves a worker that is gone.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/DomainState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/DomainState.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.Revision;
@@ -48,6 +49,15 @@
   /** Gangs with capacity planned, reserved, starting or stopping: those that time-outs concern. */
   final Set<Gang> inTransition = new LinkedHashSet<>();
 
+  /** Gangs that hold or are promised capacity. */
+  final Set<Gang> active = new LinkedHashSet<>();
+
+  /** Accelerators held by each customer's gangs. */
+  final Map<CustomerId, Integer> use = new HashMap<>();
+
+  /** Jobs that entered the queue during the present event. */
+  final List<Gang> fresh = new ArrayList<>();
+
   /** Gangs whose callers stated a deadline and that have not ended. */
   final Set<Gang> withDeadline = new LinkedHashSet<>();
 
@@ -62,6 +72,9 @@
   long rebuildUntilMillis = Long.MIN_VALUE;
   boolean rebuilding;
   boolean capacityChanged;
+  boolean fleetChanged;
+  boolean vacated;
+  final GuaranteeLedger ledger = new GuaranteeLedger(this);
   private final ArrayDeque<JobId> finalJobs = new ArrayDeque<>();
   private long sequence;
   private List<SchedulerAction> actions = new ArrayList<>();
@@ -110,6 +123,15 @@
     emit(new SchedulerAction.JobChanged(gang.spec.id(), Math.max(gang.attempt, 1), phase, reason));
   }
 
+  /** Puts a waiting gang before all that are not promoted. */
+  void promote(Gang gang) {
+    queue.remove(gang);
+    gang.rank = Long.MIN_VALUE;
+    gang.promoted = true;
+    gang.wasPromoted = true;
+    queue.add(gang);
+  }
+
   /** Remembers an ended job for a while and forgets the oldest. */
   void retainFinal(Gang gang) {
     finalJobs.add(gang.spec.id());
@@ -118,14 +140,32 @@
     }
   }
 
+  /** Books a gang that got workers. */
+  void activate(Gang gang) {
+    active.add(gang);
+    gang.booked = gang.accelerators();
+    use.merge(gang.spec.customer(), gang.booked, Integer::sum);
+  }
+
+  /** Gives back everything that a gang without running tasks holds. */
+  void deactivate(Gang gang) {
+    ledger.release(gang);
+    if (active.remove(gang)) {
+      use.merge(gang.spec.customer(), -gang.booked, Integer::sum);
+    }
+  }
+
   /** Puts a gang without tasks into the queue. */
   void enqueue(Gang gang, long nowMillis) {
     gang.tasks = new GangTask[0];
     gang.rank = policy.order().rank(gang.view());
+    gang.queuedMillis = nowMillis;
+    gang.wasPromoted = false;
+    gang.promoted = false;
     queue.add(gang);
     if (gang.spec.deadlineMillis() > 0) {
       withDeadline.add(gang);
     }
-    capacityChanged = true;
+    fresh.add(gang);
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Gang.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Gang.java
@@ -1,6 +1,8 @@
 package org.primrosegauge.core.schedule.impl;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.TaskId;
@@ -29,6 +31,7 @@
   long reasonSinceMillis;
   long rank;
   long notBeforeMillis;
+  long queuedMillis;
   long phaseUntilMillis;
   long startedMillis;
   long attainedService;
@@ -36,6 +39,16 @@
   boolean unconfirmed;
   boolean cancelled;
   JobReason stopReason;
+  final List<ClaimUse> claims = new ArrayList<>();
+
+  /** Workers of tasks that cannot be taken back and run outside a claim; null when none do. */
+  List<Worker> firmWorkers;
+
+  Resources firmEach;
+  int booked;
+  int preemptions;
+  boolean promoted;
+  boolean wasPromoted;
   int taskFailures;
   int losses;
   int refusals;
@@ -57,6 +70,17 @@
         submittedMillis);
   }
 
+  /** Returns the view of a running gang, with the service of the present attempt. */
+  QueuedJob viewAt(long nowMillis) {
+    long running = Math.max(0, nowMillis - startedMillis) * accelerators();
+    return new QueuedJob(
+        accelerators(),
+        spec.tasks(),
+        spec.declaredMillis(),
+        attainedService + running,
+        submittedMillis);
+  }
+
   int accelerators() {
     return demand.accelerators() * spec.tasks();
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangLifecycle.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangLifecycle.java
@@ -30,6 +30,7 @@
   /** Books capacity for a new attempt and reserves it as soon as no borrower is left on it. */
   void plan(Gang gang, List<Worker> workers, long nowMillis) {
     state.queue.remove(gang);
+    gang.promoted = false;
     gang.attempt++;
     gang.tasks = new GangTask[workers.size()];
     for (int i = 0; i < gang.tasks.length; i++) {
@@ -37,9 +38,9 @@
       gang.tasks[i] = new GangTask(id, workers.get(i), GangTask.State.PLANNED);
       workers.get(i).hold(id, gang.demand);
     }
+    state.activate(gang);
     gang.waitsFor(JobReason.WAITS_PREEMPTION, nowMillis);
     state.inTransition.add(gang);
-    reserveWhenVacated(gang, nowMillis);
   }
 
   /** Sends the reservations of a planned gang once all its workers have room. */
@@ -185,6 +186,7 @@
     }
     enterRunning(gang, nowMillis);
     settleWhenEnded(gang, nowMillis);
+    state.vacated = true;
   }
 
   private static JobReason reasonOf(TaskOutcome outcome) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangSettlement.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangSettlement.java
@@ -67,6 +67,7 @@
   }
 
   private void requeue(Gang gang, JobReason why, boolean exhausted, long nowMillis) {
+    state.deactivate(gang);
     if (exhausted) {
       state.count(why);
       finish(gang, JobPhase.FAILED, JobReason.RETRIES_EXHAUSTED, nowMillis);
@@ -79,6 +80,7 @@
   }
 
   void finish(Gang gang, JobPhase phase, JobReason reason, long nowMillis) {
+    state.deactivate(gang);
     state.queue.remove(gang);
     state.inTransition.remove(gang);
     gang.tasks = new GangTask[0];
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Placer.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Placer.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.ToIntFunction;
+import org.primrosegauge.core.job.JobSpec;
 import org.primrosegauge.core.schedule.cfg.WorkerChoice;
 import org.primrosegauge.core.site.Adjacency;
 
@@ -24,6 +25,12 @@
     this.fleet = fleet;
   }
 
+  /** Returns one worker a task of a gang, or nothing when it does not fit. */
+  Optional<List<Worker>> place(Gang gang, ToIntFunction<Worker> room, WorkerChoice choice) {
+    JobSpec job = gang.spec;
+    return place(job.tasks(), job.adjacency(), job.adjacencyRequired(), room, choice);
+  }
+
   /** Returns one worker a task, or nothing when the gang does not fit. */
   Optional<List<Worker>> place(
       int tasks,
@@ -46,6 +53,20 @@
     return fill(tasks, candidates(room), choice);
   }
 
+  /** Returns the groups of workers within one of which a gang has to lie. */
+  List<List<Worker>> ranges(Gang gang) {
+    List<List<Worker>> ranges = new ArrayList<>();
+    boolean required = gang.spec.adjacencyRequired();
+    if (required && gang.spec.adjacency() == Adjacency.WORKER) {
+      fleet.workers().forEach(worker -> ranges.add(List.of(worker)));
+    } else if (required && gang.spec.adjacency() == Adjacency.RACK) {
+      ranges.addAll(fleet.racks());
+    } else {
+      ranges.add(List.copyOf(fleet.workers()));
+    }
+    return ranges;
+  }
+
   private Optional<List<Worker>> inOneWorker(
       int tasks, ToIntFunction<Worker> room, WorkerChoice choice) {
     List<Candidate> fitting = new ArrayList<>();
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Rebuild.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Rebuild.java
@@ -19,11 +19,13 @@
   private final DomainState state;
   private final GangLifecycle lifecycle;
   private final GangSettlement settlement;
+  private final ClaimAdoption adoption;
 
   Rebuild(DomainState state, GangLifecycle lifecycle, GangSettlement settlement) {
     this.state = state;
     this.lifecycle = lifecycle;
     this.settlement = settlement;
+    this.adoption = new ClaimAdoption(state);
   }
 
   /** Forgets all placements; the workers announce them again. */
@@ -31,6 +33,9 @@
     state.rebuilding = true;
     state.rebuildUntilMillis = nowMillis + state.settings.rebuildMillis();
     state.fleet.clear();
+    state.ledger.clear();
+    state.active.clear();
+    state.use.clear();
     state.orphans.clear();
     state.inTransition.clear();
     for (Gang gang : state.gangs.values()) {
@@ -94,6 +99,7 @@
     }
     state.rebuilding = false;
     state.capacityChanged = true;
+    state.fleetChanged = true;
     for (Gang gang : new ArrayList<>(state.gangs.values())) {
       if (gang.unconfirmed && !gang.phase.isFinal()) {
         confirm(gang, nowMillis);
@@ -122,6 +128,8 @@
       return;
     }
     gang.phase = JobPhase.RUNNING;
+    state.activate(gang);
+    adoption.adopt(gang);
     if (gang.cancelled) {
       lifecycle.stop(gang, StopMode.STOP, JobReason.CANCELLED, nowMillis);
     } else if (complete) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/SchedulerCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/SchedulerCore.java
@@ -211,6 +211,7 @@
   /** Applies a configuration. */
   public void configured(SiteConfiguration configuration) {
     state.configuration = configuration;
+    state.fleetChanged = true;
     state.capacityChanged = true;
   }
 
@@ -223,9 +224,23 @@
     for (Gang gang : new ArrayList<>(state.withDeadline)) {
       checkDeadline(gang, nowMillis);
     }
+    promoteLongWaiting(nowMillis);
     state.capacityChanged = true;
   }
 
+  /** Puts jobs whose wait has reached its bound before all others. */
+  private void promoteLongWaiting(long nowMillis) {
+    if (!state.policy.boundsWait()) {
+      return;
+    }
+    for (Gang gang : new ArrayList<>(state.queue)) {
+      long waited = nowMillis - gang.queuedMillis;
+      if (!gang.promoted && waited >= state.settings.waitBoundMillis()) {
+        state.promote(gang);
+      }
+    }
+  }
+
   private void checkDeadline(Gang gang, long nowMillis) {
     if (gang.phase.isFinal()) {
       state.withDeadline.remove(gang);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/WorkerEvents.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/WorkerEvents.java
@@ -45,6 +45,7 @@
       state.fleet.add(known);
     }
     known.leaving = false;
+    state.fleetChanged = true;
     reconcile(known, description.running(), nowMillis);
     state.capacityChanged = true;
   }
@@ -97,6 +98,7 @@
       return;
     }
     worker.leaving = true;
+    state.fleetChanged = true;
     for (TaskId id : new ArrayList<>(worker.held.keySet())) {
       Gang gang = state.gangs.get(id.job());
       GangTask task = gang == null ? null : gang.task(id);
@@ -124,6 +126,7 @@
     }
     Orphans.recount(state);
     state.capacityChanged = true;
+    state.fleetChanged = true;
   }
 
   private static void forgetReport(Gang gang, TaskId id) {
@@ -150,6 +153,7 @@
   /** Blames the worker or the job: a job that fails on two workers is bad, not the workers. */
   private void judgeHealth(Gang gang, GangTask task, TaskOutcome outcome, long nowMillis) {
     if (outcome == TaskOutcome.DONE) {
+      state.fleetChanged |= task.worker.health.isProbing();
       task.worker.health.succeeded();
     }
     if (outcome != TaskOutcome.FAILED) {
@@ -157,8 +161,12 @@
     }
     gang.failedWorkers.add(task.worker.id);
     if (gang.failedWorkers.size() == 1) {
-      task.worker.health.failed(
-          gang.spec.id(), state.settings.suspectJobs(), state.settings.asideMillis(), nowMillis);
+      state.fleetChanged |=
+          task.worker.health.failed(
+              gang.spec.id(),
+              state.settings.suspectJobs(),
+              state.settings.asideMillis(),
+              nowMillis);
       return;
     }
     for (TargetId target : gang.failedWorkers) {
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/schedule/SiteModel.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/schedule/SiteModel.java
@@ -150,6 +150,18 @@
     }
   }
 
+  /** Answers everything that is there now, checkpoints only on request. */
+  void answerAllExceptCheckpoints(boolean checkpoints) {
+    for (int i = unanswered.size() - 1; i >= 0; i--) {
+      boolean checkpoint =
+          unanswered.get(i) instanceof SchedulerAction.Stop stop
+              && stop.mode() == StopMode.CHECKPOINT;
+      if (checkpoints || !checkpoint) {
+        answer(i, true);
+      }
+    }
+  }
+
   /** Answers one message that is still unanswered. */
   void answer(int index, boolean yes) {
     SchedulerAction action = unanswered.remove(index);
@@ -172,6 +184,27 @@
     }
   }
 
+  /** Loses a message, or only its answer after the worker acted on it. */
+  void drop(int index, boolean onlyAnswer) {
+    SchedulerAction action = unanswered.remove(index);
+    if (onlyAnswer) {
+      return;
+    }
+    if (action instanceof SchedulerAction.Start start) {
+      running.remove(start.task());
+    }
+  }
+
+  int runningAttempts(JobId job) {
+    Set<Integer> attempts = new LinkedHashSet<>();
+    for (TaskId task : running.keySet()) {
+      if (task.job().equals(job)) {
+        attempts.add(task.attempt());
+      }
+    }
+    return attempts.size();
+  }
+
   void end(TaskId task, TaskOutcome outcome) {
     running.remove(task);
     apply(scheduler.taskEnded(task, outcome, now));
