--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerLink.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerLink.java
@@ -41,7 +41,8 @@
             .doOnChannelInit(
                 (observer, opened, remote) -> {
                   PeerTransport.installFraming(opened);
-                  opened.pipeline().addLast(new PeerTransport.FrameReader(receiver, security));
+                  PeerTransport.addFrameReader(
+                      opened, new PeerTransport.FrameReader(receiver, security));
                 });
     // The element that a new connection emits makes the retry operator start its back-off afresh.
     Flux<Channel> session =
@@ -89,6 +90,7 @@
   }
 
   private Flux<Channel> serve(Connection connection) {
+    PeerTransport.readAlways(connection);
     channel = connection.channel();
     return Flux.concat(Mono.just(channel), connection.onDispose().then(Mono.empty()));
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
@@ -24,7 +24,9 @@
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
+import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
+import reactor.netty.NettyPipeline;
 import reactor.netty.tcp.TcpServer;
 
 /**
@@ -131,6 +133,7 @@
             .host(host)
             .port(port)
             .doOnChannelInit((observer, channel, remote) -> install(channel, security))
+            .doOnConnection(PeerTransport::readAlways)
             .handle((in, out) -> Mono.never());
     server = security.secure(tcp).bindNow();
   }
@@ -260,15 +263,30 @@
 
   private void install(Channel channel, PeerSecurity peerSecurity) {
     installFraming(channel);
-    channel.pipeline().addLast(new FrameReader(this::receive, peerSecurity));
+    addFrameReader(channel, new FrameReader(this::receive, peerSecurity));
   }
 
   static void installFraming(Channel channel) {
+    // In front of the library's last handler, which would consume the bytes.
     channel
         .pipeline()
-        .addLast(
+        .addBefore(
+            NettyPipeline.ReactiveBridge,
+            "primrosegauge.decoder",
             new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
-        .addLast(new LengthFieldPrepender(LENGTH_BYTES));
+        .addBefore(
+            NettyPipeline.ReactiveBridge,
+            "primrosegauge.encoder",
+            new LengthFieldPrepender(LENGTH_BYTES));
+  }
+
+  /** The library reads on demand of its own streams, which the frames bypass. */
+  static void readAlways(Connection connection) {
+    connection.channel().config().setAutoRead(true);
+  }
+
+  static void addFrameReader(Channel channel, FrameReader reader) {
+    channel.pipeline().addBefore(NettyPipeline.ReactiveBridge, "primrosegauge.reader", reader);
   }
 
   private void receive(Channel channel, byte[] bytes) {
