Peer transport: receive frames

Cause: no frame ever arrived. A peer had sent 1,296 bytes and the other had received 0 (RequestPathTest, forwarding between two instances). Reactor Netty's own handler stands in the pipeline before a handler added last, and it reads only once somebody subscribes to the inbound.

Ruled out: turning auto-read on, which Reactor Netty turns off again for each connection.

Change: the framing handlers go before the bridge of Reactor Netty, and both sides subscribe to the inbound.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerLink.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerLink.java
@@ -39,10 +39,9 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .option(ChannelOption.TCP_NODELAY, true)
             .doOnChannelInit(
-                (observer, opened, remote) -> {
-                  PeerTransport.installFraming(opened);
-                  opened.pipeline().addLast(new PeerTransport.FrameReader(receiver, security));
-                });
+                (observer, opened, remote) ->
+                    PeerTransport.installFraming(
+                        opened, new PeerTransport.FrameReader(receiver, security)));
     // The element that a new connection emits makes the retry operator start its back-off afresh.
     Flux<Channel> session =
         Mono.defer(() -> security.secure(client).connect())
@@ -90,7 +89,9 @@
 
   private Flux<Channel> serve(Connection connection) {
     channel = connection.channel();
-    return Flux.concat(Mono.just(channel), connection.onDispose().then(Mono.empty()));
+    // Reads start with a subscriber; the frames themselves end at the handler before it.
+    Mono<Channel> reading = connection.inbound().receive().then(Mono.empty());
+    return Flux.concat(Mono.just(channel), reading, connection.onDispose().then(Mono.empty()));
   }
 
   /** Makes the retry operator open the connection again. */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -25,6 +26,7 @@
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 import reactor.netty.DisposableServer;
+import reactor.netty.NettyPipeline;
 import reactor.netty.tcp.TcpServer;
 
 /**
@@ -131,7 +133,8 @@
             .host(host)
             .port(port)
             .doOnChannelInit((observer, channel, remote) -> install(channel, security))
-            .handle((in, out) -> Mono.never());
+            // Reads start with a subscriber; the frames themselves end at the handler before it.
+            .handle((in, out) -> in.receive().then());
     server = security.secure(tcp).bindNow();
   }
 
@@ -259,16 +262,20 @@
   }
 
   private void install(Channel channel, PeerSecurity peerSecurity) {
-    installFraming(channel);
-    channel.pipeline().addLast(new FrameReader(this::receive, peerSecurity));
+    installFraming(channel, new FrameReader(this::receive, peerSecurity));
   }
 
-  static void installFraming(Channel channel) {
-    channel
-        .pipeline()
-        .addLast(
-            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
-        .addLast(new LengthFieldPrepender(LENGTH_BYTES));
+  /** Reactor Netty's own handler consumes what reaches it, so these handlers go before it. */
+  static void installFraming(Channel channel, FrameReader reader) {
+    addBeforeBridge(
+        channel,
+        new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+    addBeforeBridge(channel, new LengthFieldPrepender(LENGTH_BYTES));
+    addBeforeBridge(channel, reader);
+  }
+
+  private static void addBeforeBridge(Channel channel, ChannelHandler handler) {
+    channel.pipeline().addBefore(NettyPipeline.ReactiveBridge, null, handler);
   }
 
   private void receive(Channel channel, byte[] bytes) {
