Request router: sharper checks, address in the announcement, keys given back late

Change: the test's executors lose their leases and work for other instances meanwhile; a key whose work never began must be given back; fairness runs with shares that are whole numbers; a test for shares after one customer had the service alone. The sharper check found that a late "not sent" left the key taken: it is given back now. A time-out at the deadline is reported as such. The announcement carries the executor's address, so that the adapter keeps no table of its own.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/request/ClaimStore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/request/ClaimStore.java
@@ -31,7 +31,8 @@
 
   /**
    * Records what became of the work under a key. Best effort: a claim that is never settled keeps
-   * the key taken with an unknown outcome, which is safe.
+   * the key taken with an unknown outcome, which is safe. An unknown outcome may be followed by a
+   * known one, never the other way round.
    *
    * @param requestId holder of the key
    * @param claim key and content
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/request/RequestAction.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/request/RequestAction.java
@@ -17,10 +17,11 @@
    *
    * @param attempt attempt that the executor must echo
    * @param target executor
+   * @param address base address of the executor
    * @param deadlineMillis time after which the answer is of no use
    * @since 0.1
    */
-  record Dispatch(AttemptId attempt, TargetId target, long deadlineMillis)
+  record Dispatch(AttemptId attempt, TargetId target, String address, long deadlineMillis)
       implements RequestAction {}
 
   /**
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/request/TargetAnnouncement.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/request/TargetAnnouncement.java
@@ -10,6 +10,7 @@
  * @param id executor
  * @param service service whose requests it answers
  * @param domain failure domain that it is in
+ * @param address base address of its request interface; opaque to the router
  * @param slots requests that it works on at a time
  * @param connections connections that it accepts
  * @param inProgress requests that it works on now, whoever sent them
@@ -21,6 +22,7 @@
     TargetId id,
     ServiceId service,
     FailureDomainId domain,
+    String address,
     int slots,
     int connections,
     int inProgress,
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/request/impl/Dispatcher.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/request/impl/Dispatcher.java
@@ -105,6 +105,8 @@
     outbox.count(DropReason.LATE_OUTCOME);
     if (outcome == AttemptOutcome.ANSWERED) {
       finisher.settle(request, Execution.RAN);
+    } else if (!outcome.mayHaveBegun() && !request.mayHaveBegun()) {
+      finisher.settle(request, Execution.NOT_RUN);
     }
   }
 
@@ -157,10 +159,16 @@
     attempts.put(attempt.id(), attempt);
     long deadline = description.deadlineMillis();
     wakes.schedule(request, deadline);
-    outbox.add(
-        attempt.target() != null
-            ? new RequestAction.Dispatch(attempt.id(), attempt.target().id(), deadline)
-            : new RequestAction.Forward(attempt.id(), attempt.peer().id(), deadline));
+    outbox.add(actionFor(attempt, deadline));
+  }
+
+  private static RequestAction actionFor(Attempt attempt, long deadlineMillis) {
+    TargetState target = attempt.target();
+    if (target == null) {
+      return new RequestAction.Forward(attempt.id(), attempt.peer().id(), deadlineMillis);
+    }
+    String address = target.announcement().address();
+    return new RequestAction.Dispatch(attempt.id(), target.id(), address, deadlineMillis);
   }
 
   private void release(Attempt attempt, AttemptOutcome outcome, long nowMillis) {
@@ -221,9 +229,11 @@
     if (!request.mayHaveBegun()) {
       return RefusalReason.TARGET_UNREACHABLE;
     }
-    return outcome == AttemptOutcome.ANSWERED_ERROR
-        ? RefusalReason.TARGET_FAILED
-        : RefusalReason.OUTCOME_UNKNOWN;
+    return switch (outcome) {
+      case ANSWERED_ERROR -> RefusalReason.TARGET_FAILED;
+      case TIMED_OUT -> RefusalReason.DEADLINE_IN_FLIGHT;
+      default -> RefusalReason.OUTCOME_UNKNOWN;
+    };
   }
 
   private long backoffMillis(ActiveRequest request) {
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/request/RequestRouterPropertyTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/request/RequestRouterPropertyTest.java
@@ -10,6 +10,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.RequestId;
 import org.primrosegauge.core.site.Service;
@@ -30,7 +32,15 @@
     while (!world.open.isEmpty()) {
       world.endAny(AttemptOutcome.ANSWERED);
     }
+    while (!world.claiming.isEmpty()) {
+      world.answerClaim();
+    }
     assertThat(world.router.isIdle()).isTrue();
+    for (RouterWorld.Caller caller : world.callers.values()) {
+      assertWithMessage("key of %s, which never began, given back", caller.description.id())
+          .that(caller.givenBack)
+          .isEqualTo(caller.granted && !caller.begun);
+    }
     checkNoSlotLeaked(world);
   }
 
@@ -83,7 +93,7 @@
   @Property(seed = "20261203", tries = 100)
   void customerBelowItsShareIsNotRefusedWhileAnotherIsAbove(
       @ForAll List<@IntRange(min = 0, max = 2) Integer> arrivals, @ForAll long seed) {
-    int maxQueued = 9;
+    int maxQueued = 8;
     Service service = RouterWorld.service(maxQueued);
     RouterWorld world = new RouterWorld(seed, service, 1, 1, 3);
     world.announce(RouterWorld.target(0), false);
@@ -113,6 +123,37 @@
     waiting.merge(loser, -1, Integer::sum);
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {0, 10, 100})
+  void slotsAreSharedByWeightWhateverWasUsedBefore(int usedAlone) {
+    RouterWorld world = new RouterWorld(1, RouterWorld.service(1_000), 1, 3, 2);
+    world.announce(RouterWorld.target(0), false);
+    for (int i = 0; i < usedAlone + 100; i++) {
+      world.receive(RouterWorld.customer(0), true, false, false, FAR_MILLIS);
+    }
+    for (int i = 0; i < usedAlone; i++) {
+      world.endAny(AttemptOutcome.ANSWERED);
+    }
+    for (int i = 0; i < 100; i++) {
+      world.receive(RouterWorld.customer(1), true, false, false, FAR_MILLIS);
+    }
+    int heavy = 0;
+    for (int i = 0; i < 60; i++) {
+      int before = world.open.size();
+      world.endAny(AttemptOutcome.ANSWERED);
+      assertThat(world.open.size()).isEqualTo(before);
+      long held = world.open.keySet().stream().filter(id -> isHeavy(world, id)).count();
+      heavy += (int) held;
+    }
+    assertThat(heavy).isAtLeast(60 * 2 - 10);
+    assertThat(heavy).isAtMost(60 * 2 + 10);
+  }
+
+  private static boolean isHeavy(RouterWorld world, AttemptId id) {
+    RequestDescription description = world.callers.get(id.request()).description;
+    return description.customer().equals(RouterWorld.customer(1));
+  }
+
   private static int weight(CustomerId customer) {
     return customer.equals(RouterWorld.customer(1)) ? 2 : 1;
   }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/request/RouterWorld.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/request/RouterWorld.java
@@ -31,7 +31,7 @@
 
   static final ServiceId SERVICE = new ServiceId("kutipan-core");
   static final FailureDomainId HOME = new FailureDomainId("klang");
-  static final long LEASE_MILLIS = 3_000;
+  static final long LEASE_MILLIS = 600;
 
   private static final AttemptOutcome[] OUTCOMES = AttemptOutcome.values();
 
@@ -55,6 +55,7 @@
     int openAttempts;
     boolean begun;
     boolean granted;
+    boolean givenBack;
     boolean gone;
     int finals;
 
@@ -119,7 +120,7 @@
   }
 
   private void disturb() {
-    int chance = random.nextInt(4);
+    int chance = random.nextInt(5);
     if (chance == 0 && !callers.isEmpty()) {
       Caller caller = pick(List.copyOf(callers.values()));
       caller.gone = true;
@@ -133,11 +134,20 @@
       // An outcome that belongs to nothing must change nothing.
       AttemptId stray = new AttemptId(new RequestId("stray-" + serial), 1);
       carryOut(router.ended(stray, OUTCOMES[random.nextInt(OUTCOMES.length)], nowMillis));
+    } else if (chance == 3) {
+      executors.values().forEach(this::workForAnother);
     } else {
       carryOut(router.peerGone(peer(0), nowMillis));
     }
   }
 
+  /** An executor whose lease ended here may have got a request from its next instance. */
+  private void workForAnother(Executor executor) {
+    if (nowMillis >= executor.expiryMillis && executor.running < executor.slots) {
+      executor.running++;
+    }
+  }
+
   private void receiveAny() {
     boolean repeatable = random.nextBoolean();
     boolean keyed = random.nextBoolean();
@@ -198,7 +208,15 @@
     executor.expiryMillis = nowMillis + LEASE_MILLIS;
     TargetAnnouncement announcement =
         new TargetAnnouncement(
-            id, SERVICE, HOME, executor.slots, 60, executor.running, leaving, LEASE_MILLIS);
+            id,
+            SERVICE,
+            HOME,
+            "http://x",
+            executor.slots,
+            60,
+            executor.running,
+            leaving,
+            LEASE_MILLIS);
     carryOut(router.announced(announcement, nowMillis));
   }
 
@@ -212,7 +230,7 @@
     carryOut(router.peerLoad(load, nowMillis));
   }
 
-  private void answerClaim() {
+  void answerClaim() {
     if (claiming.isEmpty()) {
       return;
     }
@@ -328,6 +346,7 @@
     assertThat(caller.granted).isTrue();
     if (settle.execution() == Execution.NOT_RUN) {
       assertWithMessage("key given back").that(caller.begun || caller.openAttempts > 0).isFalse();
+      caller.givenBack = true;
     }
   }
 }
