--- a/primrosegauge-cli/src/main/java/org/primrosegauge/cli/ApiClient.java
+++ b/primrosegauge-cli/src/main/java/org/primrosegauge/cli/ApiClient.java
@@ -69,24 +69,37 @@
 
   JsonNode send(HttpMethod method, String path, String body, Consumer<HttpHeaders> headers)
       throws PrimrosegaugeException {
-    Answer answer;
+    return read(exchange(method, path, body, headers));
+  }
+
+  /** Sends a request and returns the body of the answer as it came. */
+  String text(HttpMethod method, String path, String body, Consumer<HttpHeaders> headers)
+      throws PrimrosegaugeException {
+    Answer answer = exchange(method, path, body, headers);
+    if (answer.status() >= FIRST_ERROR_STATUS) {
+      throw problem(answer);
+    }
+    return answer.body();
+  }
+
+  private Answer exchange(
+      HttpMethod method, String path, String body, Consumer<HttpHeaders> headers)
+      throws PrimrosegaugeException {
     try {
-      answer =
-          http.headers(headers::accept)
-              .request(method)
-              .uri(path)
-              .send(Mono.just(Unpooled.wrappedBuffer(body.getBytes(StandardCharsets.UTF_8))))
-              .responseSingle(
-                  (response, content) ->
-                      content
-                          .asString(StandardCharsets.UTF_8)
-                          .defaultIfEmpty("")
-                          .map(text -> Answer.of(response, text)))
-              .block(timeout);
+      return http.headers(headers::accept)
+          .request(method)
+          .uri(path)
+          .send(Mono.just(Unpooled.wrappedBuffer(body.getBytes(StandardCharsets.UTF_8))))
+          .responseSingle(
+              (response, content) ->
+                  content
+                      .asString(StandardCharsets.UTF_8)
+                      .defaultIfEmpty("")
+                      .map(text -> Answer.of(response, text)))
+          .block(timeout);
     } catch (RuntimeException e) {
       throw unreachable(method, e);
     }
-    return read(answer);
   }
 
   private static HttpClient secured(HttpClient client, Path trust) throws InvalidInputException {
--- a/primrosegauge-cli/src/main/java/org/primrosegauge/cli/PrimrosegaugeCommand.java
+++ b/primrosegauge-cli/src/main/java/org/primrosegauge/cli/PrimrosegaugeCommand.java
@@ -28,6 +28,7 @@
       TargetCommand.class,
       InstanceCommand.class,
       JobCommand.class,
+      RequestCommand.class,
       AutoComplete.GenerateCompletion.class
     },
     footer = {
@@ -38,6 +39,7 @@
       "  primrosegauge config apply --wait-seconds 10 examples/lakeshore.toml",
       "  primrosegauge domain out --work checkpoint lakes-west",
       "  primrosegauge job submit --customer price-desk --tasks 4 --accelerators 2 rebuild",
+      "  primrosegauge request --customer price-desk --service bulletin-svc 'prices of urea'",
       "",
       "Exit codes:",
       "  0 done, 1 faults in the input, 2 wrong command line, 3 not found, 4 conflict,",
