Test of the log: slow disks, loss of power, and claims checked against the disk

Change: syncs take up to 400 ms now and then; all instances may lose power at once; every acknowledgement and vote is compared with what is durable at its sender when it is sent. Conclusion: loss of unsynced writes is rarely visible from outside, so the claim is checked itself.

--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogOracle.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogOracle.java
@@ -43,6 +43,24 @@
     }
   }
 
+  /** A message claims only what is durable at its sender. */
+  void claims(RecoveredLog durable, LogMessage message) {
+    if (message instanceof LogMessage.AppendReply reply && reply.accepted()) {
+      int entries = durable.entries().size();
+      long base = durable.snapshot() == null ? 0 : durable.snapshot().index().number();
+      long last = entries == 0 ? base : durable.entries().get(entries - 1).index().number();
+      assertWithMessage("durable at %s", durable.storage())
+          .that(last)
+          .isAtLeast(reply.index().number());
+    } else if (message instanceof LogMessage.VoteReply reply
+        && reply.granted()
+        && !reply.preVote()) {
+      assertWithMessage("durable term at %s", durable.storage())
+          .that(durable.hardState().term())
+          .isAtLeast(reply.term());
+    }
+  }
+
   /** A read under the lease sees all that any leader has acknowledged. */
   void reads(InstanceId instance, LogIndex index) {
     assertWithMessage("read of %s", instance).that(index.number()).isAtLeast(acknowledged);
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
@@ -29,6 +29,7 @@
   private static final int TICK_MILLIS = 10;
   private static final int MAX_DELAY_MILLIS = 30;
   private static final int MAX_SYNC_MILLIS = 15;
+  private static final int MAX_SLOW_SYNC_MILLIS = 400;
   private static final int SNAPSHOT_EVERY = 12;
   private static final double MAX_CLOCK_ERROR = 0.04;
 
@@ -47,6 +48,7 @@
     SimulatedRegistry registry;
     long applied;
     long frozenUntil;
+    long syncedAt;
     int incarnation;
 
     Node(int number) {
@@ -101,6 +103,7 @@
       case HEAL -> cuts.clear();
       case FREEZE -> node.frozenUntil = Math.max(node.frozenUntil, now + 20L * step.amount());
       case CRASH -> crash(node);
+      case POWER_LOSS -> nodes.forEach(this::crash);
       case RESTART -> start(node);
       case WIPE -> wipe(node);
       case ADD_LEARNER -> change(new MembershipChange.AddLearner(replicaId(node)));
@@ -325,6 +328,7 @@
   }
 
   private void send(Node from, Send send) {
+    oracle.claims(from.disk.content(), send.message());
     Node to = nodes.stream().filter(node -> node.id.equals(send.to())).findFirst().orElseThrow();
     int copies = random.nextInt(100) < lossPercent ? 0 : 1 + random.nextInt(20) / 19;
     for (int i = 0; i < copies; i++) {
@@ -350,8 +354,11 @@
           .forEach(membershipEntries::add);
     }
     int incarnation = node.incarnation;
+    boolean isSlow = random.nextInt(8) == 0;
+    long done = now + random.nextInt(isSlow ? MAX_SLOW_SYNC_MILLIS : MAX_SYNC_MILLIS);
+    node.syncedAt = Math.max(node.syncedAt, done);
     at(
-        now + random.nextInt(MAX_SYNC_MILLIS),
+        node.syncedAt,
         () ->
             whenAwake(
                 node,
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogStep.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogStep.java
@@ -20,6 +20,7 @@
     HEAL,
     FREEZE,
     CRASH,
+    POWER_LOSS,
     RESTART,
     WIPE,
     ADD_LEARNER,
