--- a/primrosegauge-wire/src/test/java/org/primrosegauge/wire/FrameCodecTest.java
+++ b/primrosegauge-wire/src/test/java/org/primrosegauge/wire/FrameCodecTest.java
@@ -3,11 +3,20 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.Term;
+import org.primrosegauge.core.log.LogEntry;
+import org.primrosegauge.core.log.LogIndex;
+import org.primrosegauge.core.log.LogMessage;
+import org.primrosegauge.core.log.Member;
+import org.primrosegauge.core.log.Membership;
+import org.primrosegauge.core.log.ReplicaId;
+import org.primrosegauge.core.log.StorageId;
 
 class FrameCodecTest {
 
@@ -50,4 +59,25 @@
       assertThat(e).hasMessageThat().contains("remedy");
     }
   }
+
+  @Test
+  void entriesOfTheLogKeepTheirCommandAndMembers() throws WireException {
+    FrameCodec logCodec =
+        new FrameCodec(MessageTypes.builder().family("log", LogMessage.class).build());
+    ReplicaId replica = new ReplicaId(SENDER, new StorageId("s1"));
+    Membership members = new Membership(List.of(new Member(replica, Member.Role.VOTER)));
+    LogEntry command = new LogEntry(new LogIndex(2), new Term(1), 5, null, new byte[] {1, 2, 3});
+    LogEntry change = new LogEntry(new LogIndex(3), new Term(1), 6, members, new byte[0]);
+    LogMessage request =
+        new LogMessage.AppendRequest(
+            new Term(1),
+            replica.storage(),
+            new LogIndex(1),
+            new Term(1),
+            new LogIndex(1),
+            77,
+            List.of(command, change));
+    Frame read = logCodec.decode(logCodec.encode(Frame.tell(SENDER, request)));
+    assertThat(read.body()).isEqualTo(request);
+  }
 }
