--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/job/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the job ledger. */
+package org.primrosegauge.core.job.cfg;
