Jobs outlive their keeper: ledger, peers and log behind the keeper duty; durable log; exit on a failed disk

Cause: jobs lived in one process's memory, and the log in volatile storage. Ruled out: the log alone (a cut-off domain could accept nothing) and peers alone (a lost domain would lose its jobs). Change: the keeper writes each record to its peers and to the log and answers how it is held; a start of a job that may not be repeated waits until its record is held; a new keeper restores the jobs from both and adopts the gangs that workers report.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.StorageException;
 import org.primrosegauge.core.keeper.KeeperOffice;
 import org.primrosegauge.core.keeper.cfg.KeeperSettings;
 import org.primrosegauge.core.log.cfg.LogSettings;
@@ -28,6 +30,7 @@
 import org.primrosegauge.node.keeper.KeeperDuty;
 import org.primrosegauge.node.log.LogDuty;
 import org.primrosegauge.node.log.LogStorage;
+import org.primrosegauge.node.log.RegistryJobLog;
 import org.primrosegauge.node.log.RegistryService;
 import org.primrosegauge.node.log.RegistryView;
 import org.primrosegauge.node.membership.Membership;
@@ -65,6 +68,7 @@
   private static final int UNAVAILABLE = 503;
 
   private final NodeSettings settings;
+  private final Consumer<StorageException> onStorageFailure;
   private final InstanceId self;
   private final FailureDomainId domain;
   private final MonotonicClock clock = MonotonicClock.system();
@@ -88,11 +92,15 @@
    * Creates an instance that does not run yet.
    *
    * @param storage durable storage of the log; used on voters only
+   * @param onStorageFailure told once when the storage becomes unusable; the process must then end
    * @throws PrimrosegaugeException when the storage cannot be recovered
    * @since 0.1
    */
-  public InstanceDaemon(NodeSettings settings, LogStorage storage) throws PrimrosegaugeException {
+  public InstanceDaemon(
+      NodeSettings settings, LogStorage storage, Consumer<StorageException> onStorageFailure)
+      throws PrimrosegaugeException {
     this.settings = settings;
+    this.onStorageFailure = onStorageFailure;
     this.self = settings.instance().id();
     this.domain = settings.instance().failureDomain();
     this.keeperSettings =
@@ -111,6 +119,8 @@
             clock,
             transport,
             this::proposeForKeeper,
+            new RegistryJobLog(registry),
+            neighbours(),
             workerClient,
             metrics);
     this.membership =
@@ -225,11 +235,16 @@
         clock,
         transport,
         registry::update,
-        failure -> storageFailed = true);
+        this::storageFailed);
   }
 
   // Internals: events
 
+  private void storageFailed(StorageException failure) {
+    storageFailed = true;
+    onStorageFailure.accept(failure);
+  }
+
   private reactor.core.publisher.Mono<org.primrosegauge.core.keeper.QuorumResult> proposeForKeeper(
       RegistryCommand.KeeperCommand command) {
     return registry
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceRunner.java
@@ -2,9 +2,12 @@
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.StorageException;
 import org.primrosegauge.node.cfg.NodeSettings;
+import org.primrosegauge.node.journal.Journal;
 import org.primrosegauge.node.log.LogStorage;
 import org.primrosegauge.node.log.MemoryStorage;
 import org.slf4j.LoggerFactory;
@@ -16,6 +19,8 @@
  */
 public final class InstanceRunner {
 
+  private static final String LOG_FOLDER = "log";
+
   private InstanceRunner() {}
 
   /**
@@ -26,26 +31,33 @@
    */
   public static void run(NodeSettings settings) throws PrimrosegaugeException {
     setLevel(settings);
-    InstanceDaemon daemon = new InstanceDaemon(settings, openStorage(settings));
-    CountDownLatch ended = new CountDownLatch(1);
+    CompletableFuture<StorageException> failure = new CompletableFuture<>();
+    InstanceDaemon daemon = new InstanceDaemon(settings, openStorage(settings), failure::complete);
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
                 () -> {
-                  daemon.stop();
-                  ended.countDown();
+                  if (!failure.isDone()) {
+                    daemon.stop();
+                  }
                 },
                 "shutdown"));
     daemon.start();
     try {
-      ended.await();
+      throw failure.get();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } catch (ExecutionException e) {
+      throw new IllegalStateException("a storage failure is a value, not an exception", e);
     }
   }
 
+  /** Opens the data folder of a voter; other instances keep nothing that must outlive them. */
   private static LogStorage openStorage(NodeSettings settings) {
-    return new MemoryStorage();
+    if (!settings.instance().voter()) {
+      return new MemoryStorage();
+    }
+    return new Journal(settings.instance().dataFolder().orElseThrow().resolve(LOG_FOLDER));
   }
 
   private static void setLevel(NodeSettings settings) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobApi.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobApi.java
@@ -133,12 +133,17 @@
   }
 
   private Mono<JobMessage> askDomain(FailureDomainId domain, JobMessage.Question question) {
-    InstanceId keeper = membership.keeperOf(domain).orElse(null);
-    if (keeper == null) {
+    InstanceId receiver = membership.keeperOf(domain).orElse(null);
+    boolean reads = question instanceof JobMessage.Show || question instanceof JobMessage.ListAll;
+    if (receiver == null && reads) {
+      // Every instance of the domain has the records that the last keeper handed on.
+      receiver = membership.membersOf(domain).get(0);
+    }
+    if (receiver == null) {
       return Mono.error(noKeeper(domain));
     }
     return transport
-        .ask(keeper, question, JobMessage.class, ASK_TIMEOUT)
+        .ask(receiver, question, JobMessage.class, ASK_TIMEOUT)
         .flatMap(
             answer ->
                 answer instanceof JobMessage.Refused refused
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobMessage.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobMessage.java
@@ -5,6 +5,7 @@
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.job.JobSpec;
+import org.primrosegauge.core.job.LedgerRecord;
 import org.primrosegauge.wire.api.JobView;
 
 /**
@@ -45,6 +46,16 @@
    */
   record ListAll(int most) implements Question {}
 
+  /**
+   * Hands a record on to an instance of the same failure domain.
+   *
+   * @param record record to merge
+   */
+  record Replicate(LedgerRecord record) implements Question {}
+
+  /** The record was merged. */
+  record Replicated() implements JobMessage {}
+
   /**
    * Answers with a job.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
@@ -1,5 +1,6 @@
 package org.primrosegauge.node.keeper;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.primrosegauge.core.ErrorKind;
@@ -13,6 +14,7 @@
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.job.JobPhase;
 import org.primrosegauge.core.job.JobSpec;
+import org.primrosegauge.core.job.LedgerRecord;
 import org.primrosegauge.core.keeper.KeeperAction;
 import org.primrosegauge.core.keeper.KeeperLease;
 import org.primrosegauge.core.keeper.KeeperMessage;
@@ -23,6 +25,7 @@
 import org.primrosegauge.core.schedule.DomainScheduler;
 import org.primrosegauge.core.schedule.Explanation;
 import org.primrosegauge.core.schedule.JobReason;
+import org.primrosegauge.core.schedule.RunningTask;
 import org.primrosegauge.core.schedule.SchedulerAction;
 import org.primrosegauge.core.schedule.WorkerDescription;
 import org.primrosegauge.core.schedule.cfg.SchedulerSettings;
@@ -56,6 +59,9 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(KeeperDuty.class);
   private static final long TICK_MILLIS = 50;
+  private static final String REFUSED_PREFIX = "refused-";
+  private static final Duration HOLD_CHECK_INTERVAL = Duration.ofMillis(10);
+  private static final Duration HOLD_MOST = Duration.ofMillis(1_500);
 
   private final FailureDomainId domain;
   private final MonotonicClock clock;
@@ -67,7 +73,9 @@
   private final DomainScheduler scheduler;
   private final WorkerRegistry workers;
   private final CommandSender commands;
-  private final JobTable jobs;
+  private final JobBook jobs;
+  private final JobLog jobLog;
+  private final HeldStarts heldStarts = new HeldStarts();
   private volatile Term publishedTerm = Term.NONE;
   private volatile Revision publishedSwitch = Revision.NONE;
   private volatile int publishedWorkers;
@@ -79,6 +87,7 @@
    * Creates the duty.
    *
    * @param ringCapacity most events that wait
+   * @param neighbours other configured instances of the domain
    * @param workerLeaseMillis how long a worker's announcement holds, in milliseconds
    * @since 0.1
    */
@@ -91,6 +100,8 @@
       MonotonicClock clock,
       PeerTransport transport,
       KeeperQuorum quorum,
+      JobLog jobLog,
+      List<InstanceId> neighbours,
       WorkerClient client,
       NodeMetrics metrics) {
     this.domain = domain;
@@ -105,7 +116,8 @@
     this.workers = new WorkerRegistry(workerLeaseMillis);
     this.commands =
         new CommandSender(workers, client, metrics, () -> lease.mayStart(clock.nowMillis()));
-    this.jobs = new JobTable(domain);
+    this.jobLog = jobLog;
+    this.jobs = new JobBook(domain, neighbours, clock, duty, transport, jobLog);
     transport.onTell(
         KeeperMessage.class,
         (from, message) -> duty.offer(() -> run(lease.receive(message, clock.nowMillis()))));
@@ -234,41 +246,74 @@
   // Jobs
 
   private Mono<JobMessage> answer(JobMessage.Question question) {
-    return duty.ask(
-        () -> {
-          try {
-            return decide(question);
-          } catch (PrimrosegaugeException e) {
-            return JobMessage.Refused.of(e);
-          }
-        });
+    Mono<JobMessage> decided =
+        duty.ask(
+            () -> {
+              try {
+                return decide(question);
+              } catch (PrimrosegaugeException e) {
+                return JobMessage.Refused.of(e);
+              }
+            });
+    return question instanceof JobMessage.Submit submit
+        ? decided.flatMap(answer -> whenHeld(submit.job().id(), answer))
+        : decided;
+  }
+
+  /** Delays the acceptance of a job until somebody else holds its record, for a bounded time. */
+  private Mono<JobMessage> whenHeld(JobId job, JobMessage accepted) {
+    if (!(accepted instanceof JobMessage.Found)) {
+      return Mono.just(accepted);
+    }
+    return duty.ask(() -> jobs.isHeldAlone(job))
+        .repeatWhen(rounds -> rounds.delayElements(HOLD_CHECK_INTERVAL))
+        .takeUntil(alone -> !alone)
+        .take(HOLD_MOST)
+        .then(duty.<JobMessage>ask(() -> new JobMessage.Found(view(job))));
   }
 
   private JobMessage decide(JobMessage.Question question) throws PrimrosegaugeException {
-    if (lease.term().equals(Term.NONE)) {
+    if (question instanceof JobMessage.Replicate replicate) {
+      jobs.merge(replicate.record());
+      return new JobMessage.Replicated();
+    } else if (question instanceof JobMessage.Show show) {
+      return new JobMessage.Found(view(show.job()));
+    } else if (question instanceof JobMessage.ListAll list) {
+      return new JobMessage.FoundAll(jobs.views(list.most()));
+    }
+    requireOffice();
+    if (question instanceof JobMessage.Submit submit) {
+      return new JobMessage.Found(submit(submit.job()));
+    }
+    JobId cancelled = ((JobMessage.Cancel) question).job();
+    jobs.view(cancelled, null);
+    perform(scheduler.cancel(cancelled, clock.nowMillis()));
+    return new JobMessage.Found(view(cancelled));
+  }
+
+  private void requireOffice() throws PrimrosegaugeException {
+    if (!lease.mayStart(clock.nowMillis())) {
       throw new PrimrosegaugeException(
           ErrorKind.UNAVAILABLE,
           "this instance is not the keeper of failure domain " + domain,
           "come back in a second",
           "");
     }
-    if (question instanceof JobMessage.Submit submit) {
-      return new JobMessage.Found(submit(submit.job()));
-    } else if (question instanceof JobMessage.Cancel cancel) {
-      jobs.view(cancel.job(), null);
-      perform(scheduler.cancel(cancel.job(), clock.nowMillis()));
-      return new JobMessage.Found(view(cancel.job()));
-    } else if (question instanceof JobMessage.Show show) {
-      return new JobMessage.Found(view(show.job()));
-    }
-    return new JobMessage.FoundAll(jobs.views(((JobMessage.ListAll) question).most()));
   }
 
   private JobView submit(JobSpec job) throws PrimrosegaugeException {
-    if (jobs.add(job)) {
+    if (jobs.accept(job, lease.term())) {
       perform(scheduler.submit(job, clock.nowMillis()));
     }
-    return view(job.id());
+    JobView view = view(job.id());
+    if (view.phase() == JobPhase.FAILED && view.reason().startsWith(REFUSED_PREFIX)) {
+      throw new PrimrosegaugeException(
+          ErrorKind.INFEASIBLE,
+          "job " + job.id() + " can never run here: " + view.reason(),
+          "make the gang or its tasks smaller, or name a larger failure domain in the id",
+          "");
+    }
+    return view;
   }
 
   private JobView view(JobId job) throws PrimrosegaugeException {
@@ -291,6 +336,11 @@
       return Optional.empty();
     }
     final WorkerDescription description = WorkerRegistry.describe(worker, announcement);
+    for (RunningTask running : description.running()) {
+      if (!jobs.isKnown(running.task().job())) {
+        jobs.accept(running.job(), lease.term());
+      }
+    }
     workers.announced(worker, announcement, now);
     // Ends first: a task that is neither running nor ended counts as lost.
     perform(scheduler.workerReported(WorkerRegistry.report(worker, announcement), now));
@@ -313,6 +363,8 @@
       }
     }
     perform(scheduler.tick(nowMillis));
+    jobs.tick(lease.mayStart(nowMillis), nowMillis);
+    heldStarts.release(nowMillis, jobs::mayStart, this::sendStart);
     publish(nowMillis);
   }
 
@@ -357,6 +409,7 @@
             result -> lease.officeObserved(result.office(), clock.nowMillis()));
       } else if (action instanceof KeeperAction.TookOffice took) {
         LOG.info("keeper of failure domain {} under term {}", domain, took.term());
+        takeOver();
       } else if (action instanceof KeeperAction.LostOffice lost) {
         LOG.info("no longer keeper of failure domain {} under term {}", domain, lost.term());
         workers.clear();
@@ -381,7 +434,7 @@
       if (action instanceof SchedulerAction.Reserve reserve) {
         commands.reserve(reserve, this::reserveReply);
       } else if (action instanceof SchedulerAction.Start start) {
-        commands.start(start, this::startReply);
+        startOrHold(start);
       } else if (action instanceof SchedulerAction.Release release) {
         commands.release(release);
       } else if (action instanceof SchedulerAction.Stop stop) {
@@ -400,7 +453,7 @@
   }
 
   private void jobChanged(SchedulerAction.JobChanged change) {
-    jobs.changed(change);
+    jobs.changed(change, lease.term());
     metrics.count("primrosegauge.job.changes", "job", change.reason());
     if (change.phase() == JobPhase.FAILED || change.reason() == JobReason.PREEMPTED) {
       metrics.refused("job", change.reason());
@@ -413,6 +466,46 @@
         change.reason().label());
   }
 
+  /** Sends a start, or holds it until the record of the start is held where it must be. */
+  private void startOrHold(SchedulerAction.Start start) {
+    if (!jobs.recordStart(start.task(), lease.term())) {
+      startReply(start.task(), false);
+    } else if (jobs.mayStart(start.task())) {
+      sendStart(start);
+    } else {
+      heldStarts.add(start, clock.nowMillis());
+    }
+  }
+
+  private void sendStart(SchedulerAction.Start start) {
+    commands.start(start, this::startReply);
+  }
+
+  /**
+   * Hands the jobs on record to the scheduler: those known here at once, those of the log later.
+   */
+  private void takeOver() {
+    long now = clock.nowMillis();
+    perform(scheduler.leaseGranted(lease.term(), lease.snapshot().leaseUntil(), now));
+    jobs.open().forEach(this::restore);
+    jobLog
+        .records(domain)
+        .subscribe(
+            records -> duty.offer(() -> records.forEach(this::mergeAndRestore)),
+            error -> LOG.warn("job records of the log are not at hand: {}", error.getMessage()));
+  }
+
+  private void mergeAndRestore(LedgerRecord record) {
+    if (jobs.merge(record)) {
+      jobs.find(record.spec().id()).filter(merged -> !merged.isFinal()).ifPresent(this::restore);
+    }
+  }
+
+  private void restore(LedgerRecord record) {
+    perform(
+        scheduler.jobRestored(record.spec(), record.attempt(), record.phase(), clock.nowMillis()));
+  }
+
   private void reserveReply(TaskId task, boolean accepted) {
     duty.offer(() -> perform(scheduler.reserveReply(task, accepted, clock.nowMillis())));
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.primrosegauge.core.ErrorKind;
+import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.StorageException;
@@ -21,6 +22,7 @@
 import org.primrosegauge.core.log.cfg.LogSettings;
 import org.primrosegauge.core.registry.ConfigurationRegistry;
 import org.primrosegauge.core.registry.HistoryEntry;
+import org.primrosegauge.core.registry.JobRecord;
 import org.primrosegauge.core.registry.RegistryCommand;
 import org.primrosegauge.core.registry.RegistryResult;
 import org.primrosegauge.core.registry.cfg.RegistrySettings;
@@ -173,6 +175,23 @@
         });
   }
 
+  /**
+   * Returns the job records of a home domain, once this replica leads under a valid lease: nothing
+   * that was acknowledged is missing from them.
+   *
+   * @since 0.1
+   */
+  public Mono<List<JobRecord>> jobs(FailureDomainId domain) {
+    return duty.ask(
+        () -> {
+          LogIndex fresh = replica.readIndex(clock.nowMillis()).orElseThrow(LogDuty::notLeader);
+          if (fresh.number() > applied) {
+            throw notLeader();
+          }
+          return registry.jobs().stream().filter(job -> job.domain().equals(domain)).toList();
+        });
+  }
+
   // Log thread
 
   private void tick(long nowMillis) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryMessage.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryMessage.java
@@ -1,10 +1,12 @@
 package org.primrosegauge.node.log;
 
 import java.util.List;
+import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.Revision;
 import org.primrosegauge.core.keeper.KeeperOffice;
 import org.primrosegauge.core.registry.HistoryEntry;
+import org.primrosegauge.core.registry.JobRecord;
 import org.primrosegauge.core.site.DomainSwitch;
 
 /**
@@ -39,6 +41,20 @@
    */
   record AskHistory(int most) implements Question {}
 
+  /**
+   * Asks the leader for the job records of a home domain.
+   *
+   * @param domain home domain
+   */
+  record AskJobs(FailureDomainId domain) implements Question {}
+
+  /**
+   * Job records.
+   *
+   * @param jobs records, by job
+   */
+  record Jobs(List<JobRecord> jobs) implements RegistryMessage {}
+
   /**
    * The command was applied.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryService.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryService.java
@@ -13,12 +13,14 @@
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
 import org.primrosegauge.core.ErrorKind;
+import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.Revision;
 import org.primrosegauge.core.registry.AcceptedConfiguration;
 import org.primrosegauge.core.registry.ContentDigest;
 import org.primrosegauge.core.registry.HistoryEntry;
+import org.primrosegauge.core.registry.JobRecord;
 import org.primrosegauge.core.registry.RegistryCommand;
 import org.primrosegauge.core.registry.RegistryResult;
 import org.primrosegauge.node.transport.PeerTransport;
@@ -175,6 +177,19 @@
         .switchIfEmpty(Mono.error(RegistryService::noQuorum));
   }
 
+  /**
+   * Returns the job records of a home domain, as the leader has them.
+   *
+   * @since 0.1
+   */
+  public Mono<List<JobRecord>> jobs(FailureDomainId domain) {
+    return Mono.defer(() -> jobsOnce(domain))
+        .retryWhen(
+            reactor.util.retry.Retry.fixedDelay(Long.MAX_VALUE, RETRY_PAUSE)
+                .filter(RegistryService::wasNotProposed))
+        .timeout(PROPOSAL_TIMEOUT, Mono.error(RegistryService::noQuorum));
+  }
+
   /**
    * Asks the next source for what is new. Does nothing on a voter, which has its own log.
    *
@@ -198,6 +213,27 @@
 
   // Internals
 
+  private Mono<List<JobRecord>> jobsOnce(FailureDomainId domain) {
+    LogDuty own = log;
+    if (own != null && self.equals(own.leader())) {
+      return own.jobs(domain);
+    }
+    return Flux.fromIterable(voters)
+        .filter(voter -> !voter.equals(self))
+        .concatMap(
+            voter ->
+                transport
+                    .ask(
+                        voter,
+                        new RegistryMessage.AskJobs(domain),
+                        RegistryMessage.Jobs.class,
+                        ASK_TIMEOUT)
+                    .onErrorResume(error -> Mono.empty()))
+        .next()
+        .map(RegistryMessage.Jobs::jobs)
+        .switchIfEmpty(Mono.error(RegistryService::noQuorum));
+  }
+
   private void pulled(RegistryMessage answer) {
     if (!(answer instanceof RegistryMessage.View next)) {
       return;
@@ -255,6 +291,11 @@
     if (question instanceof RegistryMessage.Propose propose) {
       return answerProposal(own, propose);
     }
+    if (question instanceof RegistryMessage.AskJobs ask) {
+      return own.jobs(ask.domain())
+          .<RegistryMessage>map(RegistryMessage.Jobs::new)
+          .onErrorResume(error -> Mono.just(new RegistryMessage.NotApplied(own.leader(), false)));
+    }
     return own.history(((RegistryMessage.AskHistory) question).most())
         .map(RegistryMessage.History::new);
   }
