--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.TargetId;
@@ -110,7 +111,7 @@
    */
   public void add(ExecutorStandin executor) {
     executors.put(executor.id(), executor);
-    announceForever("/v1/targets/executors/" + executor.id(), executor::announcement, reply -> {});
+    announceForever("/v1/targets/executors/" + executor.id(), executor::announcement, (reply, sent) -> {});
   }
 
   // Internals
@@ -118,11 +119,16 @@
   private void announceForever(
       String path,
       Supplier<Object> announcement,
-      java.util.function.Consumer<AnnouncementReply> onReply) {
+      ObjLongConsumer<AnnouncementReply> onReply) {
     StandinClient client = new StandinClient(instances, workers.size() + executors.size());
     loops.add(
-        Mono.defer(() -> client.announce(path, announcement.get()))
-            .doOnNext(onReply)
+        Mono.defer(
+                () -> {
+                  long sent = nowMillis();
+                  return client
+                      .announce(path, announcement.get())
+                      .doOnNext(reply -> onReply.accept(reply, sent));
+                })
             .then(Mono.delay(announceInterval))
             .repeat()
             .subscribe());
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/WorkerStandin.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/WorkerStandin.java
@@ -59,6 +59,7 @@
   private final Map<TaskId, HeldTask> held = new LinkedHashMap<>();
   private final Map<TaskId, TaskEnd> ended = new LinkedHashMap<>();
   private Term highestTerm = Term.NONE;
+  private long leaseUntil = Long.MAX_VALUE;
   private boolean leaving;
 
   /**
@@ -122,6 +123,9 @@
    * @since 0.1
    */
   public synchronized void advance(long nowMillis) {
+    if (nowMillis >= leaseUntil) {
+      stopAll();
+    }
     List<TaskId> due = new ArrayList<>();
     held.forEach(
         (task, state) -> {
@@ -162,16 +166,28 @@
   }
 
   /**
-   * Forgets the ends that were acknowledged.
+   * Takes the answer to an announcement: renews the lease and forgets the ends that were
+   * acknowledged.
    *
+   * @param sentMillis when the announcement was sent; the lease counts from then
    * @since 0.1
    */
-  public synchronized void acknowledged(AnnouncementReply reply) {
+  public synchronized void acknowledged(AnnouncementReply reply, long sentMillis) {
+    if (reply.leaseMillis() > 0) {
+      leaseUntil = sentMillis + reply.leaseMillis();
+    }
     if (reply.acknowledged() != null) {
       reply.acknowledged().forEach(ended::remove);
     }
   }
 
+  /** A worker without a lease stops its tasks: a keeper may have started them elsewhere. */
+  private void stopAll() {
+    for (TaskId task : List.copyOf(held.keySet())) {
+      stop(task, TaskEnd.Outcome.STOPPED);
+    }
+  }
+
   private TaskCommandReply reserve(TaskId task, TaskCommand command, long nowMillis) {
     HeldTask known = held.get(task);
     if (known != null) {
