--- /dev/null
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Time that one decision of the scheduler takes. */
+package org.primrosegauge.bench.placement;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/DomainScheduler.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/DomainScheduler.java
@@ -211,6 +211,15 @@
     return core.explain(job, nowMillis);
   }
 
+  /**
+   * Returns the free capacity and how scattered it is.
+   *
+   * @since 0.1
+   */
+  public FleetCapacity capacity() {
+    return core.capacity();
+  }
+
   /**
    * Returns how often a reason was given since the scheduler was created.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/QueueOrder.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/QueueOrder.java
@@ -31,13 +31,25 @@
    * @since 0.1
    */
   static QueueOrder leastAttained(long firstLevel) {
-    return job -> {
-      long rank = 0;
-      for (long limit = firstLevel; job.attainedService() >= limit; limit *= LEVEL_FACTOR) {
-        rank++;
-      }
-      return rank;
-    };
+    return job -> level(job.attainedService(), firstLevel);
+  }
+
+  /**
+   * Returns the same order by run time alone, which does not put gangs back for their size.
+   *
+   * @param firstLevel milliseconds of the first level
+   * @since 0.1
+   */
+  static QueueOrder leastRunTime(long firstLevel) {
+    return job -> level(job.attainedMillis(), firstLevel);
+  }
+
+  private static long level(long attained, long firstLevel) {
+    long level = 0;
+    for (long limit = firstLevel; attained >= limit; limit *= LEVEL_FACTOR) {
+      level++;
+    }
+    return level;
   }
 
   /** Service of a level in proportion to the one before. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/QueuedJob.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/QueuedJob.java
@@ -7,8 +7,14 @@
  * @param tasks tasks of the gang
  * @param declaredMillis declared run time, in milliseconds; 0 when unknown
  * @param attainedService accelerators times run time so far, in accelerator-milliseconds
+ * @param attainedMillis run time so far, in milliseconds
  * @param submittedMillis time of submission
  * @since 0.1
  */
 public record QueuedJob(
-    int accelerators, int tasks, long declaredMillis, long attainedService, long submittedMillis) {}
+    int accelerators,
+    int tasks,
+    long declaredMillis,
+    long attainedService,
+    long attainedMillis,
+    long submittedMillis) {}
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/SchedulerSettings.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/SchedulerSettings.java
@@ -45,7 +45,7 @@
   public static final SchedulerSettings DEFAULTS =
       new SchedulerSettings(
           5_000, 1_000, 1_500, 3_000, 1_000, 5_000, 1_000, 60_000, 1_800_000, 300_000, 120, 3, 20,
-          50, 3, 32);
+          50, 3, 8);
 
   /** Checks the relations between the times. */
   public SchedulerSettings {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/SchedulingPolicy.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/SchedulingPolicy.java
@@ -22,6 +22,9 @@
   /** Service after which a job leaves the first level, in accelerator-milliseconds. */
   public static final long FIRST_LEVEL_SERVICE = 3_600_000;
 
+  /** Run time after which a job leaves the first level, in milliseconds. */
+  public static final long FIRST_LEVEL_MILLIS = 120_000;
+
   /** First in, first out, with first fit: the baseline of all measurements. */
   public static final SchedulingPolicy FIFO_FIRST_FIT =
       new SchedulingPolicy(
@@ -34,7 +37,7 @@
 
   /** Policy used unless the operator states another. */
   public static final SchedulingPolicy DEFAULT =
-      leastAttained(FIRST_LEVEL_SERVICE, WorkerChoice.CELL);
+      leastRunTime(FIRST_LEVEL_MILLIS, WorkerChoice.CELL);
 
   /**
    * Returns least-attained-service order with preemption, bounded waits and defragmentation.
@@ -43,7 +46,20 @@
    * @since 0.1
    */
   public static SchedulingPolicy leastAttained(long firstLevel, WorkerChoice choice) {
-    QueueOrder order = QueueOrder.leastAttained(firstLevel);
+    return multiLevel(QueueOrder.leastAttained(firstLevel), choice);
+  }
+
+  /**
+   * Returns the same policy by run time alone.
+   *
+   * @param firstLevel milliseconds of the first level
+   * @since 0.1
+   */
+  public static SchedulingPolicy leastRunTime(long firstLevel, WorkerChoice choice) {
+    return multiLevel(QueueOrder.leastRunTime(firstLevel), choice);
+  }
+
+  private static SchedulingPolicy multiLevel(QueueOrder order, WorkerChoice choice) {
     return new SchedulingPolicy(
         order, BackfillRule.ALWAYS, choice, PreemptionRule.byRank(order), true, true);
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/ClaimPlacer.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/ClaimPlacer.java
@@ -36,6 +36,9 @@
   }
 
   private Optional<List<Worker>> claim(Gang gang, Guarantee guarantee) {
+    if (ledger.claimable(guarantee) == 0 && ledger.pinnedOf(guarantee).isEmpty()) {
+      return Optional.empty();
+    }
     Block block = GuaranteeLedger.blockOf(guarantee.shape());
     FleetRooms rooms = FleetRooms.of(state.fleet);
     int[] pieces = block.pieces(rooms.whole());
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Dispatcher.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Dispatcher.java
@@ -6,7 +6,6 @@
 import java.util.function.Predicate;
 import org.primrosegauge.core.schedule.JobReason;
 import org.primrosegauge.core.schedule.cfg.BackfillRule;
-import org.primrosegauge.core.site.Customer;
 
 /**
  * Goes through the queue and plans every gang that may start now: claims of guarantees first, then
@@ -75,7 +74,8 @@
       return;
     }
     for (Gang gang : new ArrayList<>(state.queue)) {
-      if (isReady(gang, nowMillis) && isWithinQuota(gang)) {
+      boolean covered = !state.ledger.guaranteesOf(gang.spec.customer()).isEmpty();
+      if (covered && isReady(gang, nowMillis) && isWithinQuota(gang)) {
         tryClaim(gang, nowMillis);
       }
     }
@@ -95,7 +95,7 @@
         gang.waitsFor(JobReason.WAITS_CAPACITY, nowMillis);
       } else if (tries++ >= state.settings.maxPlacementTries()) {
         break;
-      } else if (!tryStart(gang, nowMillis)) {
+      } else if (!tryStart(gang, false, nowMillis)) {
         failed.add(gang);
         blocked = blocked == null ? gang : blocked;
       }
@@ -115,7 +115,7 @@
       }
       Gang first = state.queue.first();
       if (mayPass(gang, first == gang ? null : first, nowMillis)) {
-        tryStart(gang, nowMillis);
+        tryStart(gang, true, nowMillis);
       } else {
         gang.waitsFor(JobReason.WAITS_TURN, nowMillis);
       }
@@ -174,14 +174,9 @@
   }
 
   private boolean isWithinQuota(Gang gang) {
+    int quota = state.quotas.getOrDefault(gang.spec.customer(), 0);
     int used = state.use.getOrDefault(gang.spec.customer(), 0);
-    for (Customer customer : state.configuration.customers()) {
-      if (customer.id().equals(gang.spec.customer())) {
-        int quota = customer.quotaAccelerators();
-        return quota == 0 || used + gang.accelerators() <= quota;
-      }
-    }
-    return true;
+    return quota == 0 || used + gang.accelerators() <= quota;
   }
 
   // One gang
@@ -192,7 +187,7 @@
     return workers.isPresent();
   }
 
-  private boolean tryStart(Gang gang, long nowMillis) {
+  private boolean tryStart(Gang gang, boolean isFresh, long nowMillis) {
     Optional<List<Worker>> workers = place(gang, nowMillis);
     if (workers.isPresent()) {
       planBorrowed(gang, workers.get(), any -> false, JobReason.PREEMPTED, nowMillis);
@@ -201,8 +196,13 @@
     if (gang.spec.urgent()) {
       return tryPreempt(gang, victim -> !victim.spec.urgent(), JobReason.PREEMPTED, nowMillis);
     }
-    if (budget.isOpen(nowMillis) && tryPreemptByPolicy(gang, nowMillis)) {
-      return true;
+    boolean mayPreempt = state.mayPreemptInPass || isFresh;
+    if (mayPreempt && (gang.promoted || budget.isOpen(nowMillis))) {
+      // One search a pass bounds the time of a decision; the next tick goes on.
+      state.mayPreemptInPass = false;
+      if (tryPreemptByPolicy(gang, nowMillis)) {
+        return true;
+      }
     }
     gang.waitsFor(waitReason(gang), nowMillis);
     return false;
@@ -223,11 +223,12 @@
     Predicate<Gang> settled =
         victim ->
             !victim.spec.urgent()
+                && !victim.wasPromoted
                 && nowMillis - victim.startedMillis >= state.settings.quantumMillis();
     Predicate<Gang> byRule =
         victim -> state.policy.preemption().mayPreempt(gang.view(), victim.viewAt(nowMillis));
     if (gang.promoted) {
-      byRule = victim -> !victim.wasPromoted;
+      byRule = victim -> true;
     }
     if (tryPreempt(gang, settled.and(byRule), JobReason.PREEMPTED, nowMillis)) {
       return true;
@@ -240,13 +241,14 @@
   }
 
   private boolean tryPreempt(Gang gang, Predicate<Gang> eligible, JobReason why, long nowMillis) {
+    final boolean budgeted = !gang.spec.urgent() && !gang.promoted;
     Optional<List<Worker>> workers = reclaimer.place(eligible, () -> place(gang, nowMillis));
     if (workers.isEmpty()) {
       gang.waitsFor(waitReason(gang), nowMillis);
       return false;
     }
     int victims = planBorrowed(gang, workers.get(), eligible, why, nowMillis);
-    if (!gang.spec.urgent()) {
+    if (budgeted) {
       budget.take(victims);
     }
     return true;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/DomainState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/DomainState.java
@@ -55,6 +55,9 @@
   /** Accelerators held by each customer's gangs. */
   final Map<CustomerId, Integer> use = new HashMap<>();
 
+  /** Most accelerators of each customer; 0 for no quota. */
+  final Map<CustomerId, Integer> quotas = new HashMap<>();
+
   /** Jobs that entered the queue during the present event. */
   final List<Gang> fresh = new ArrayList<>();
 
@@ -74,6 +77,10 @@
   boolean capacityChanged;
   boolean fleetChanged;
   boolean vacated;
+
+  /** Whether the next pass may look for borrowers to preempt; granted by each tick. */
+  boolean mayPreemptInPass;
+
   final GuaranteeLedger ledger = new GuaranteeLedger(this);
   private final ArrayDeque<JobId> finalJobs = new ArrayDeque<>();
   private long sequence;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/FirmPlacer.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/FirmPlacer.java
@@ -14,8 +14,8 @@
  */
 final class FirmPlacer {
 
-  /** Bound of the search, in packings times workers. */
-  private static final int SEARCH_BUDGET = 40_000;
+  /** Bound of the search, in packings times the square of the workers. */
+  private static final int SEARCH_BUDGET = 100_000;
 
   private final DomainState state;
   private final GuaranteeLedger ledger;
@@ -61,7 +61,8 @@
   }
 
   private Optional<List<Worker>> search(Gang gang, ToIntFunction<Worker> room) {
-    budget = SEARCH_BUDGET / Math.max(1, state.fleet.workers().size());
+    int workers = Math.max(1, state.fleet.workers().size());
+    budget = SEARCH_BUDGET / (workers * workers);
     List<Worker> chosen = new ArrayList<>();
     for (List<Worker> range : placer.ranges(gang)) {
       int[] slots = new int[range.size()];
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Fleet.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import org.primrosegauge.core.RackId;
 import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.schedule.FleetCapacity;
 
 /**
  * Workers of the domain, by rack and in the order of their ids.
@@ -52,6 +53,22 @@
     return worker;
   }
 
+  /** Sums up what is free. */
+  FleetCapacity capacity() {
+    int all = 0;
+    int free = 0;
+    int whole = 0;
+    for (Worker worker : workers.values()) {
+      int own = worker.capacity.accelerators();
+      all += own;
+      if (worker.acceptsWork()) {
+        free += Math.max(0, worker.freeAccelerators());
+        whole += worker.freeAccelerators() == own ? own : 0;
+      }
+    }
+    return new FleetCapacity(all, free, whole);
+  }
+
   void clear() {
     workers.clear();
     racks.clear();
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Gang.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Gang.java
@@ -35,6 +35,7 @@
   long phaseUntilMillis;
   long startedMillis;
   long attainedService;
+  long attainedMillis;
   GangTask[] tasks = {};
   boolean unconfirmed;
   boolean cancelled;
@@ -67,17 +68,19 @@
         spec.tasks(),
         spec.declaredMillis(),
         attainedService,
+        attainedMillis,
         submittedMillis);
   }
 
   /** Returns the view of a running gang, with the service of the present attempt. */
   QueuedJob viewAt(long nowMillis) {
-    long running = Math.max(0, nowMillis - startedMillis) * accelerators();
+    long running = Math.max(0, nowMillis - startedMillis);
     return new QueuedJob(
         accelerators(),
         spec.tasks(),
         spec.declaredMillis(),
-        attainedService + running,
+        attainedService + running * accelerators(),
+        attainedMillis + running,
         submittedMillis);
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangLifecycle.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangLifecycle.java
@@ -178,8 +178,9 @@
     if (task.state == GangTask.State.ENDED) {
       return;
     }
+    // What one task frees is looked at with the last task or the next tick: a pass for each task of
+    // a large gang would cost far more than it starts.
     task.end(outcome);
-    state.capacityChanged = true;
     if (gang.phase != JobPhase.STOPPING && outcome != TaskOutcome.DONE) {
       stop(gang, StopMode.STOP, why, nowMillis);
       return;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangSettlement.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangSettlement.java
@@ -31,7 +31,9 @@
 
   /** After the last task of an attempt has ended. */
   void afterEnd(Gang gang, long nowMillis) {
-    gang.attainedService += gang.accelerators() * Math.max(0, nowMillis - gang.startedMillis);
+    long ran = Math.max(0, nowMillis - gang.startedMillis);
+    gang.attainedMillis += ran;
+    gang.attainedService += gang.accelerators() * ran;
     boolean failed = gang.ended(TaskOutcome.FAILED);
     boolean lost = gang.ended(TaskOutcome.LOST);
     boolean saved = gang.ended(TaskOutcome.CHECKPOINTED);
@@ -68,6 +70,7 @@
 
   private void requeue(Gang gang, JobReason why, boolean exhausted, long nowMillis) {
     state.deactivate(gang);
+    state.capacityChanged = true;
     if (exhausted) {
       state.count(why);
       finish(gang, JobPhase.FAILED, JobReason.RETRIES_EXHAUSTED, nowMillis);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GuaranteeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GuaranteeLedger.java
@@ -19,6 +19,8 @@
 final class GuaranteeLedger {
 
   private final DomainState state;
+  private List<Guarantee> guarantees = List.of();
+  private final Map<CustomerId, List<Guarantee>> byCustomer = new HashMap<>();
   private final List<PinnedBlock> pinned = new ArrayList<>();
   private final Map<Guarantee, Integer> missing = new HashMap<>();
 
@@ -29,23 +31,26 @@
   // Queries
 
   List<Guarantee> guarantees() {
+    return guarantees;
+  }
+
+  List<Guarantee> guaranteesOf(CustomerId customer) {
+    return byCustomer.getOrDefault(customer, List.of());
+  }
+
+  /** Takes over the domain's guarantees from a configuration. */
+  void configure() {
     List<Guarantee> own = new ArrayList<>();
+    byCustomer.clear();
     for (Guarantee guarantee : state.configuration.guarantees()) {
       if (guarantee.domain().equals(state.domain)) {
         own.add(guarantee);
+        byCustomer
+            .computeIfAbsent(guarantee.customer(), customer -> new ArrayList<>())
+            .add(guarantee);
       }
     }
-    return own;
-  }
-
-  List<Guarantee> guaranteesOf(CustomerId customer) {
-    List<Guarantee> held = new ArrayList<>();
-    for (Guarantee guarantee : guarantees()) {
-      if (guarantee.customer().equals(customer)) {
-        held.add(guarantee);
-      }
-    }
-    return held;
+    guarantees = own;
   }
 
   List<PinnedBlock> pinnedOf(Guarantee guarantee) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/SchedulerCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/SchedulerCore.java
@@ -12,6 +12,7 @@
 import org.primrosegauge.core.job.JobSpec;
 import org.primrosegauge.core.schedule.EndedTask;
 import org.primrosegauge.core.schedule.Explanation;
+import org.primrosegauge.core.schedule.FleetCapacity;
 import org.primrosegauge.core.schedule.JobReason;
 import org.primrosegauge.core.schedule.SchedulerAction;
 import org.primrosegauge.core.schedule.StopMode;
@@ -20,6 +21,7 @@
 import org.primrosegauge.core.schedule.WorkerReport;
 import org.primrosegauge.core.schedule.cfg.SchedulerSettings;
 import org.primrosegauge.core.schedule.cfg.SchedulingPolicy;
+import org.primrosegauge.core.site.Customer;
 import org.primrosegauge.core.site.DomainSwitch;
 import org.primrosegauge.core.site.SiteConfiguration;
 
@@ -211,6 +213,11 @@
   /** Applies a configuration. */
   public void configured(SiteConfiguration configuration) {
     state.configuration = configuration;
+    state.ledger.configure();
+    state.quotas.clear();
+    for (Customer customer : configuration.customers()) {
+      state.quotas.put(customer.id(), customer.quotaAccelerators());
+    }
     state.fleetChanged = true;
     state.capacityChanged = true;
   }
@@ -226,6 +233,7 @@
     }
     promoteLongWaiting(nowMillis);
     state.capacityChanged = true;
+    state.mayPreemptInPass = true;
   }
 
   /** Puts jobs whose wait has reached its bound before all others. */
@@ -254,6 +262,11 @@
     return explainer.explain(job, nowMillis);
   }
 
+  /** Returns the free capacity. */
+  public FleetCapacity capacity() {
+    return state.fleet.capacity();
+  }
+
   /** Returns how often a reason was given. */
   public long count(JobReason reason) {
     long[] counter = state.counters.get(reason);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/ShapePacker.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/ShapePacker.java
@@ -22,7 +22,8 @@
   /** Blocks with their positions, and blocks that found none. */
   record Packing(List<Placed> placed, List<Block> missing) {}
 
-  private static final int SEARCH_BUDGET = 20_000;
+  /** Bound of the search, in steps times the square of the workers: what one step can cost. */
+  private static final int SEARCH_BUDGET = 1_000_000;
 
   private final int[] room;
   private final int[] rackOf;
@@ -55,7 +56,7 @@
     }
     final int[] afterGreedy = room.clone();
     restore(before);
-    budget = SEARCH_BUDGET;
+    budget = SEARCH_BUDGET / (room.length * room.length);
     List<Placed> found = new ArrayList<>();
     if (search(sorted, 0, found)) {
       return new Packing(found, List.of());
