--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/settings/SettingType.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/settings/SettingType.java
@@ -23,7 +23,9 @@
   /** A file or folder; a relative one starts at the folder of the settings file. */
   PATH("path", ""),
   /** One of a list of words. */
-  CHOICE("choice", "");
+  CHOICE("choice", ""),
+  /** A list of texts. */
+  WORDS("list of text", "");
 
   private final String label;
   private final String units;
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/security/package-info.java
@@ -0,0 +1,2 @@
+/** The tokens file. */
+package org.primrosegauge.node.security;
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/cfg/SettingsPageTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/cfg/SettingsPageTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.primrosegauge.core.settings.SettingKey;
 import org.primrosegauge.core.settings.SettingsPage;
+import org.primrosegauge.node.security.TokensFile;
 import org.primrosegauge.wire.toml.SiteKeys;
 
 /** The committed settings page says what the tables of keys say. */
@@ -26,6 +27,11 @@
     assertHas(SiteKeys.ALL);
   }
 
+  @Test
+  void pageHasTheTableOfTheTokens() throws IOException {
+    assertHas(TokensFile.KEYS);
+  }
+
   private static void assertHas(List<SettingKey> keys) throws IOException {
     assertThat(Files.readString(PAGE)).contains(SettingsPage.render(keys));
   }
--- a/primrosegauge-wire/src/main/java/org/primrosegauge/wire/toml/TomlSection.java
+++ b/primrosegauge-wire/src/main/java/org/primrosegauge/wire/toml/TomlSection.java
@@ -12,6 +12,7 @@
 import org.primrosegauge.core.settings.SettingFault;
 import org.primrosegauge.core.settings.SettingKey;
 import org.primrosegauge.core.settings.SettingType;
+import org.tomlj.TomlArray;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
 
@@ -215,6 +216,27 @@
     }
   }
 
+  /**
+   * Reads a list of texts.
+   *
+   * @return the texts; none when the key is missing or faulty
+   * @since 0.1
+   */
+  public List<String> words(SettingKey key) {
+    if (!has(key)) {
+      checkRequired(key);
+      return List.of();
+    }
+    boolean texts =
+        content.get(List.of(key.name())) instanceof TomlArray array
+            && array.toList().stream().allMatch(String.class::isInstance);
+    if (!texts) {
+      reportType(key, "a list such as [\"one\", \"two\"]");
+      return List.of();
+    }
+    return content.getArray(List.of(key.name())).toList().stream().map(String.class::cast).toList();
+  }
+
   /**
    * Reports a fault of a key.
    *
