Command line runs the daemon and reads its answers

Cause: serve refused to run, domain out looked for a field that the operators' interface does not have, and two logback files were on one class path.

Change: Main runs InstanceRunner; domain out waits for the state "in-force"; the client has no logback file and no log level of its own any more.

Conclusion: serve stands.

--- a/primrosegauge-cli/src/main/java/org/primrosegauge/cli/DomainCommand.java
+++ b/primrosegauge-cli/src/main/java/org/primrosegauge/cli/DomainCommand.java
@@ -117,7 +117,7 @@
     long end = environment().nowMillis().getAsLong() + mostMillis;
     while (true) {
       JsonNode state = find(api, domain);
-      boolean inForce = state.path("inForce").asBoolean();
+      boolean inForce = state.path("state").asText().equals("in-force");
       long running = state.path("runningTasks").asLong();
       environment()
           .err()
--- a/primrosegauge-cli/src/main/java/org/primrosegauge/cli/Main.java
+++ b/primrosegauge-cli/src/main/java/org/primrosegauge/cli/Main.java
@@ -3,9 +3,9 @@
 import java.io.PrintWriter;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.node.cfg.NodeSettings;
+import org.primrosegauge.node.daemon.InstanceRunner;
 
 /**
  * Entry point of the command line.
@@ -34,10 +34,7 @@
   }
 
   private static int runInstance(NodeSettings settings) throws PrimrosegaugeException {
-    throw new PrimrosegaugeException(
-        ErrorKind.INTERNAL,
-        "this build has no daemon for instance " + settings.instance().id(),
-        "build a release that has one",
-        "serve");
+    InstanceRunner.run(settings);
+    return ExitCodes.OK;
   }
 }
--- a/primrosegauge-cli/src/main/java/org/primrosegauge/cli/ServeCommand.java
+++ b/primrosegauge-cli/src/main/java/org/primrosegauge/cli/ServeCommand.java
@@ -1,12 +1,9 @@
 package org.primrosegauge.cli;
 
-import ch.qos.logback.classic.Level;
-import ch.qos.logback.classic.Logger;
 import java.nio.file.Path;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.node.cfg.NodeSettings;
 import org.primrosegauge.node.cfg.NodeSettingsReader;
-import org.slf4j.LoggerFactory;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -37,9 +34,6 @@
     if (checkOnly) {
       return ExitCodes.OK;
     }
-    if (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) instanceof Logger root) {
-      root.setLevel(Level.toLevel(read.logLevel().name()));
-    }
     return environment().daemon().run(read);
   }
 }
