Tokens and TLS in the daemon

Cause: the HTTP server believed every caller and peers talked in clear.

Ruled out: a check in each handler (a new route would be open until somebody thinks of it; here an unnamed route is the operators'); "forbidden" for another customer's job.

Change: HttpApi recognizes the caller before each handler and checks scopes (AccessRules); the jobs and service handlers check the customer, a foreign job looks absent, and a key of a foreign job is refused without its state. PeerTls is the PeerSecurity of the transport. Instances advertise https with TLS on.

Targets still answer instances over plain HTTP.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
@@ -37,7 +37,6 @@
 import org.primrosegauge.node.target.TargetApi;
 import org.primrosegauge.node.target.WorkerClient;
 import org.primrosegauge.node.transport.PeerAddress;
-import org.primrosegauge.node.transport.PeerSecurity;
 import org.primrosegauge.node.transport.PeerTransport;
 import org.primrosegauge.wire.FrameCodec;
 import org.primrosegauge.wire.api.StatusView;
@@ -70,6 +69,7 @@
   private final MonotonicClock clock = MonotonicClock.system();
   private final NodeMetrics metrics = new NodeMetrics();
   private final HttpApi http = new HttpApi();
+  private final InstanceSecurity security;
   private final PeerTransport transport;
   private final RegistryService registry;
   private final WorkerClient workerClient = new WorkerClient(WORKER_TIMEOUT);
@@ -98,8 +98,9 @@
     this.keeperSettings =
         new KeeperSettings(
             settings.timeouts().leaseMillis(), settings.timeouts().heartbeatMillis(), DRIFT_PPM);
+    this.security = InstanceSecurity.open(settings);
     this.transport =
-        new PeerTransport(self, new FrameCodec(MessageFamilies.TYPES), metrics, PeerSecurity.NONE);
+        new PeerTransport(self, new FrameCodec(MessageFamilies.TYPES), metrics, security.peers());
     this.registry = new RegistryService(self, transport, voters(), neighbours());
     this.keeper =
         new KeeperDuty(
@@ -116,7 +117,7 @@
     this.membership =
         new Membership(
             self,
-            "http://" + settings.http().advertised(),
+            security.scheme() + "://" + settings.http().advertised(),
             members(),
             System.currentTimeMillis(),
             transport,
@@ -153,8 +154,11 @@
     }
     keeper.start();
     housekeeping.start();
+    http.authenticator(security.authenticator());
     http.start(
-        HttpServer.create(), settings.http().listen().host(), settings.http().listen().port());
+        security.secure(HttpServer.create()),
+        settings.http().listen().host(),
+        settings.http().listen().port());
     LOG.info(
         "instance {} of failure domain {} serves on {}",
         self,
@@ -181,6 +185,7 @@
     http.close();
     transport.close();
     workerClient.close();
+    security.close();
     LOG.info("instance {} stopped, everything in flight finished: {}", self, finished);
     return finished;
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/http/HttpApi.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/http/HttpApi.java
@@ -9,6 +9,7 @@
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.Execution;
 import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.security.Authenticator;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -58,6 +59,7 @@
   private final List<Route> routes = new ArrayList<>();
   private final AtomicBoolean draining = new AtomicBoolean();
   private final AtomicInteger inFlight = new AtomicInteger();
+  private Authenticator authenticator = Authenticator.NONE;
   private DisposableServer server;
 
   // Settings
@@ -83,6 +85,16 @@
     return this;
   }
 
+  /**
+   * Sets how callers are recognized; by default everybody is believed.
+   *
+   * @since 0.1
+   */
+  public HttpApi authenticator(Authenticator newAuthenticator) {
+    authenticator = newAuthenticator;
+    return this;
+  }
+
   // Life-cycle
 
   /**
@@ -171,10 +183,11 @@
     return answer.doFinally(signal -> inFlight.decrementAndGet());
   }
 
-  private static Mono<Void> guarded(Route route, HttpExchange exchange) {
+  private Mono<Void> guarded(Route route, HttpExchange exchange) {
     return Mono.defer(
             () -> {
               try {
+                AccessRules.admit(authenticator, route.method(), route.path(), exchange);
                 return route.handler().handle(exchange);
               } catch (PrimrosegaugeException e) {
                 return Mono.error(e);
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/http/HttpExchange.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/http/HttpExchange.java
@@ -10,6 +10,7 @@
 import org.primrosegauge.core.Execution;
 import org.primrosegauge.core.InvalidInputException;
 import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.security.Caller;
 import org.primrosegauge.wire.WireMappers;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,6 +37,7 @@
 
   private final HttpServerRequest request;
   private final HttpServerResponse response;
+  private Caller caller = Caller.ANYBODY;
 
   HttpExchange(HttpServerRequest request, HttpServerResponse response) {
     this.request = request;
@@ -62,6 +64,20 @@
     return response;
   }
 
+  /**
+   * Returns who sent the request.
+   *
+   * @since 0.1
+   */
+  public Caller caller() {
+    return caller;
+  }
+
+  /** Sets who sent the request, before the handler runs. */
+  void identify(Caller sender) {
+    caller = sender;
+  }
+
   /**
    * Returns a part of the path by its name in the route.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobApi.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobApi.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.UUID;
+import org.primrosegauge.core.ConflictException;
+import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
@@ -10,6 +12,8 @@
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.job.HomeDomains;
 import org.primrosegauge.core.job.JobSpec;
+import org.primrosegauge.core.security.AccessPolicy;
+import org.primrosegauge.core.security.Operation;
 import org.primrosegauge.node.http.HttpApi;
 import org.primrosegauge.node.http.HttpExchange;
 import org.primrosegauge.node.membership.Membership;
@@ -70,21 +74,25 @@
     return exchange
         .json(JobSubmission.class, MAX_SUBMISSION_BYTES)
         .flatMap(submission -> toSpec(submission, key))
+        .flatMap(spec -> allowed(exchange, spec))
         .flatMap(spec -> ask(spec.id(), new JobMessage.Submit(spec)))
+        .flatMap(view -> answered(exchange, view))
         .flatMap(view -> exchange.sendJson(ACCEPTED, view));
   }
 
   private Mono<Void> show(HttpExchange exchange) throws PrimrosegaugeException {
     JobId id = jobId(exchange);
     long waitMillis = exchange.queryNumber("waitMillis", 0, MAX_WAIT_MILLIS);
-    Mono<JobView> once = ask(id, new JobMessage.Show(id));
+    Mono<JobView> once = own(exchange, Operation.READ_JOB, id);
     Mono<JobView> answer = waitMillis == 0 ? once : untilFinal(once, Duration.ofMillis(waitMillis));
     return answer.flatMap(view -> exchange.sendJson(OK, view));
   }
 
   private Mono<Void> cancel(HttpExchange exchange) throws PrimrosegaugeException {
     JobId id = jobId(exchange);
-    return ask(id, new JobMessage.Cancel(id)).flatMap(view -> exchange.sendJson(ACCEPTED, view));
+    return own(exchange, Operation.CANCEL_JOB, id)
+        .then(Mono.defer(() -> ask(id, new JobMessage.Cancel(id))))
+        .flatMap(view -> exchange.sendJson(ACCEPTED, view));
   }
 
   private Mono<Void> list(HttpExchange exchange) {
@@ -93,6 +101,7 @@
         .onErrorContinue((error, domain) -> {})
         .ofType(JobMessage.FoundAll.class)
         .flatMapIterable(JobMessage.FoundAll::jobs)
+        .filter(view -> AccessPolicy.allows(exchange.caller(), Operation.READ_JOB, owner(view)))
         .sort((a, b) -> a.id().compareTo(b.id()))
         .collectList()
         .flatMap(jobs -> exchange.sendJson(OK, new JobList(jobs)));
@@ -103,6 +112,43 @@
   /** Body of the answer to a list. */
   private record JobList(List<JobView> jobs) {}
 
+  private static Mono<JobSpec> allowed(HttpExchange exchange, JobSpec spec) {
+    return Mono.fromCallable(
+        () -> {
+          AccessPolicy.check(exchange.caller(), Operation.SUBMIT_JOB, spec.customer());
+          return spec;
+        });
+  }
+
+  /** A key that another customer's job has gets no answer about that job. */
+  private static Mono<JobView> answered(HttpExchange exchange, JobView view) {
+    return AccessPolicy.allows(exchange.caller(), Operation.SUBMIT_JOB, owner(view))
+        ? Mono.just(view)
+        : Mono.error(
+            new ConflictException(
+                "the id is in use", "use another idempotency key", "header Idempotency-Key"));
+  }
+
+  /** Returns a job if the caller may see it; another customer's job looks absent. */
+  private Mono<JobView> own(HttpExchange exchange, Operation operation, JobId id) {
+    return ask(id, new JobMessage.Show(id))
+        .flatMap(
+            view ->
+                Mono.fromCallable(
+                    () -> {
+                      AccessPolicy.checkJob(
+                          exchange.caller(),
+                          operation,
+                          owner(view),
+                          JobMessage.absent(id, view.domain()));
+                      return view;
+                    }));
+  }
+
+  private static CustomerId owner(JobView view) {
+    return new CustomerId(view.customer());
+  }
+
   private static JobId jobId(HttpExchange exchange) throws PrimrosegaugeException {
     return JobId.parse(exchange.pathPart("id"), "path");
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobMessage.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobMessage.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import org.primrosegauge.core.ErrorKind;
+import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.NotFoundException;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.job.JobSpec;
 import org.primrosegauge.wire.api.JobView;
@@ -14,6 +16,18 @@
  */
 public sealed interface JobMessage {
 
+  /**
+   * Returns the error for a job that is not known, or that the caller may not know of.
+   *
+   * @since 0.1
+   */
+  static NotFoundException absent(JobId job, FailureDomainId domain) {
+    return new NotFoundException(
+        "job " + job + " is not known in failure domain " + domain,
+        "check the id; final answers are kept for a limited time",
+        "");
+  }
+
   /** A question. */
   sealed interface Question extends JobMessage {}
 
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobTable.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobTable.java
@@ -11,6 +11,7 @@
 import org.primrosegauge.core.job.JobPhase;
 import org.primrosegauge.core.job.JobSpec;
 import org.primrosegauge.core.schedule.SchedulerAction;
+import org.primrosegauge.node.job.JobMessage;
 import org.primrosegauge.wire.api.JobView;
 
 /**
@@ -71,10 +72,7 @@
   JobView view(JobId job, String waitsFor) throws NotFoundException {
     Entry entry = jobs.get(job);
     if (entry == null) {
-      throw new NotFoundException(
-          "job " + job + " is not known in failure domain " + domain,
-          "check the id; final answers are kept for a limited time",
-          "");
+      throw JobMessage.absent(job, domain);
     }
     return toView(entry, waitsFor);
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/request/CallerRoutes.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/request/CallerRoutes.java
@@ -17,6 +17,8 @@
 import org.primrosegauge.core.request.ContentDigest;
 import org.primrosegauge.core.request.IdempotencyClaim;
 import org.primrosegauge.core.request.RequestDescription;
+import org.primrosegauge.core.security.AccessPolicy;
+import org.primrosegauge.core.security.Operation;
 import org.primrosegauge.core.site.Service;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.http.HttpApi;
@@ -68,6 +70,7 @@
           "service " + id + " is not configured", "correct the name", "path");
     }
     Headers headers = headersOf(exchange, service.get());
+    AccessPolicy.check(exchange.caller(), Operation.SEND_REQUEST, headers.customer());
     long deadline = clock.nowMillis() + headers.timeoutMillis();
     long reserved = reserve(exchange, service.get());
     return exchange
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/tls/PeerTls.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/tls/PeerTls.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import javax.net.ssl.SSLPeerUnverifiedException;
 import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.node.transport.PeerSecurity;
 import reactor.netty.tcp.TcpClient;
 import reactor.netty.tcp.TcpServer;
 
@@ -24,7 +25,7 @@
  *
  * @since 0.1
  */
-public final class PeerTls {
+public final class PeerTls implements PeerSecurity {
 
   /** Type of a DNS name among the subject alternative names, RFC 5280 section 4.2.1.6. */
   private static final int DNS_NAME = 2;
@@ -44,29 +45,17 @@
     this.peers = peers;
   }
 
-  /**
-   * Adds encryption to the accepting side.
-   *
-   * @since 0.1
-   */
+  @Override
   public TcpServer secure(TcpServer server) {
     return contexts.secure(server);
   }
 
-  /**
-   * Adds encryption to the connecting side.
-   *
-   * @since 0.1
-   */
+  @Override
   public TcpClient secure(TcpClient client) {
     return contexts.secure(client);
   }
 
-  /**
-   * Tells whether a connection belongs to an instance.
-   *
-   * @since 0.1
-   */
+  @Override
   public boolean isSender(Channel channel, InstanceId sender) {
     SslHandler handler = channel.pipeline().get(SslHandler.class);
     return handler != null
