Followers ask their parent in a tree; equal views are not published again

Cause: every follower asked the voters, and each entry of the log, also a renewed lease, made a new view that all fetched again. Ruled out: pushing every entry to all (a burst travels whole to everyone); gossip (more messages for the same delay).

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
@@ -100,7 +100,9 @@
             settings.timeouts().leaseMillis(), settings.timeouts().heartbeatMillis(), DRIFT_PPM);
     this.transport =
         new PeerTransport(self, new FrameCodec(MessageFamilies.TYPES), metrics, PeerSecurity.NONE);
-    this.registry = new RegistryService(self, transport, voters(), neighbours());
+    this.registry =
+        new RegistryService(
+            self, transport, voters(), List.copyOf(members().keySet()), neighbours());
     this.keeper =
         new KeeperDuty(
             domain,
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
@@ -64,6 +64,7 @@
   private final LogReplica replica;
   private final Map<LogIndex, Pending> pending = new TreeMap<>();
   private final List<MonoSink<RegistryResult>> proposing = new ArrayList<>();
+  private RegistryView published = RegistryView.NONE;
   private long applied;
   private long snapshotAt;
   private volatile InstanceId publishedLeader;
@@ -240,9 +241,14 @@
     }
   }
 
+  /** Publishes the view unless it equals the last one, as after the renewal of a lease. */
   private void publish() {
-    onView.accept(
-        new RegistryView(applied, registry.accepted(), registry.switches(), registry.offices()));
+    RegistryView view =
+        new RegistryView(applied, registry.accepted(), registry.switches(), registry.offices());
+    if (!view.hasContentOf(published)) {
+      published = view;
+      onView.accept(view);
+    }
   }
 
   private void snapshotIfDue() {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryService.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryService.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -46,6 +45,7 @@
   /** Largest configuration, in bytes of its text. */
   public static final int MAX_CONTENT_BYTES = 4 * 1024 * 1024;
 
+  private static final int PULLS_PER_VOTER_CHECK = 4;
   private static final int INFLATE_BUFFER_BYTES = 16 * 1024;
 
   private final InstanceId self;
@@ -56,6 +56,8 @@
   private final AtomicReference<RegistryView> view = new AtomicReference<>(RegistryView.NONE);
   private final List<Consumer<RegistryView>> listeners = new CopyOnWriteArrayList<>();
   private final AtomicInteger nextSource = new AtomicInteger();
+  private final AtomicInteger nextVoter = new AtomicInteger();
+  private final AtomicInteger pulls = new AtomicInteger();
   private volatile LogDuty log;
   private volatile InstanceId likelyLeader;
 
@@ -63,6 +65,7 @@
    * Creates the service.
    *
    * @param voters instances that keep the log
+   * @param all all instances of the site; equal on every one of them
    * @param neighbours other instances of the own failure domain, asked when no voter answers
    * @since 0.1
    */
@@ -70,15 +73,14 @@
       InstanceId self,
       PeerTransport transport,
       List<InstanceId> voters,
+      List<InstanceId> all,
       List<InstanceId> neighbours) {
     this.self = self;
     this.transport = transport;
     this.voters = List.copyOf(voters);
-    this.sources = new ArrayList<>(voters);
-    this.sources.addAll(neighbours);
-    this.sources.remove(self);
-    // Instances start at different sources, so that the voters share the load.
-    this.nextSource.set(Math.floorMod(self.hashCode(), Math.max(1, sources.size())));
+    this.sources = FanoutTree.of(voters, all).sources(self, neighbours);
+    // Proposals start at different voters, so that these share the load.
+    this.nextVoter.set(Math.floorMod(self.hashCode(), Math.max(1, voters.size())));
     transport.onAsk(RegistryMessage.Question.class, (from, question) -> answer(question));
   }
 
@@ -176,7 +178,11 @@
   }
 
   /**
-   * Asks the next source for what is new. Does nothing on a voter, which has its own log.
+   * Asks its source for what is new. Does nothing on a voter, which has its own log.
+   *
+   * <p>The source is the parent in the {@link FanoutTree}, or the next one in its list after one
+   * did not answer. Now and then a voter is asked instead: a parent that answers may itself be cut
+   * off from the voters.
    *
    * @since 0.1
    */
@@ -184,8 +190,17 @@
     if (log != null || sources.isEmpty()) {
       return;
     }
-    int at = nextSource.get();
-    InstanceId source = sources.get(Math.floorMod(at, sources.size()));
+    boolean asksVoter = pulls.incrementAndGet() % PULLS_PER_VOTER_CHECK == 0 && !voters.isEmpty();
+    if (asksVoter) {
+      int at = nextVoter.get();
+      pullFrom(voters.get(Math.floorMod(at, voters.size())), nextVoter, at);
+    } else {
+      int at = nextSource.get();
+      pullFrom(sources.get(Math.floorMod(at, sources.size())), nextSource, at);
+    }
+  }
+
+  private void pullFrom(InstanceId source, AtomicInteger cursor, int at) {
     RegistryView known = view.get();
     transport
         .ask(
@@ -193,7 +208,7 @@
             new RegistryMessage.Pull(known.version(), known.configuration().revision()),
             RegistryMessage.class,
             ASK_TIMEOUT)
-        .subscribe(this::pulled, error -> nextSource.compareAndSet(at, at + 1));
+        .subscribe(this::pulled, error -> cursor.compareAndSet(at, at + 1));
   }
 
   // Internals
@@ -223,7 +238,7 @@
     }
     InstanceId receiver = own != null ? own.leader() : likelyLeader;
     if (receiver == null || receiver.equals(self)) {
-      receiver = voters.get(Math.floorMod(nextSource.getAndIncrement(), voters.size()));
+      receiver = voters.get(Math.floorMod(nextVoter.getAndIncrement(), voters.size()));
     }
     InstanceId asked = receiver;
     return transport
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryView.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryView.java
@@ -29,4 +29,15 @@
     switches = List.copyOf(switches);
     offices = List.copyOf(offices);
   }
+
+  /**
+   * Tells whether this view differs from another at most by its version.
+   *
+   * @since 0.1
+   */
+  public boolean hasContentOf(RegistryView other) {
+    return configuration.revision().equals(other.configuration.revision())
+        && switches.equals(other.switches)
+        && offices.equals(other.offices);
+  }
 }
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/journal/JournalTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/journal/JournalTest.java
@@ -96,19 +96,20 @@
     MemoryFolder folder = new MemoryFolder();
     Journal journal = open(folder);
     journal.recover();
-    for (int i = 1; i <= 20; i++) {
+    SplittableRandom random = new SplittableRandom(seed);
+    int count = 16 + random.nextInt(10);
+    for (int i = 1; i <= count; i++) {
       journal.write(entry(i, 1));
       journal.sync();
     }
     journal.close();
     List<String> files = folder.list();
-    SplittableRandom random = new SplittableRandom(seed);
     String file = files.get(random.nextInt(files.size()));
     folder.damage(file, random.nextInt(folder.read(file).length));
     try {
       assertWithMessage("entries after damage of %s", file)
           .that(open(folder).recover().entries())
-          .hasSize(20);
+          .hasSize(count);
     } catch (StorageException e) {
       assertThat(e).hasMessageThat().contains("remedy: ");
     }
