--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
@@ -109,7 +109,9 @@
     this.security = InstanceSecurity.open(settings);
     this.transport =
         new PeerTransport(self, new FrameCodec(MessageFamilies.TYPES), metrics, security.peers());
-    this.registry = new RegistryService(self, transport, voters(), neighbours());
+    this.registry =
+        new RegistryService(
+            self, transport, voters(), List.copyOf(members().keySet()), neighbours());
     this.keeper =
         new KeeperDuty(
             domain,
