Schedule: act on memory overuse, and compare placement with an exhaustive version

Cause: a task above its declared memory was not noticed, and nothing showed that placement beside guarantees finds a place whenever there is one. Ruled out: stopping every task that uses too much, which punishes customers inside their guarantee; raising the booked amount in place, since the worker may not have it. Change: MemoryGuard throttles work inside a guarantee and work that cannot be taken back, and moves a borrower with the memory that it was seen to use. FirmPlacerTest checks equal feasibility against an exhaustive search on fleets of up to four workers; FaultPolicyTest covers bad workers, bad jobs and overuse. Conclusion: feasibility is equal on small fleets; beyond them the search is bounded and may refuse.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/DomainState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/DomainState.java
@@ -165,6 +165,10 @@
   /** Puts a gang without tasks into the queue. */
   void enqueue(Gang gang, long nowMillis) {
     gang.tasks = new GangTask[0];
+    if (gang.nextDemand != null) {
+      gang.demand = gang.nextDemand;
+      gang.nextDemand = null;
+    }
     gang.rank = policy.order().rank(gang.view());
     gang.queuedMillis = nowMillis;
     gang.wasPromoted = false;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Gang.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Gang.java
@@ -25,6 +25,10 @@
   final long sequence;
   final Set<TargetId> failedWorkers = new HashSet<>();
   Resources demand;
+
+  /** What the next attempt asks for, when it differs; the books of the present one stay as is. */
+  Resources nextDemand;
+
   int attempt;
   JobPhase phase = JobPhase.QUEUED;
   JobReason reason = JobReason.ACCEPTED;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/SchedulerCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/SchedulerCore.java
@@ -17,6 +17,7 @@
 import org.primrosegauge.core.schedule.SchedulerAction;
 import org.primrosegauge.core.schedule.StopMode;
 import org.primrosegauge.core.schedule.TaskOutcome;
+import org.primrosegauge.core.schedule.TaskUsage;
 import org.primrosegauge.core.schedule.WorkerDescription;
 import org.primrosegauge.core.schedule.WorkerReport;
 import org.primrosegauge.core.schedule.cfg.SchedulerSettings;
@@ -42,6 +43,7 @@
   private final Admission admission;
   private final Dispatcher dispatcher;
   private final Explainer explainer;
+  private final MemoryGuard memoryGuard;
 
   /** Creates the core of a scheduler that has no workers and holds no lease yet. */
   public SchedulerCore(
@@ -54,6 +56,7 @@
     admission = new Admission(state);
     dispatcher = new Dispatcher(state, lifecycle);
     explainer = new Explainer(state);
+    memoryGuard = new MemoryGuard(state, lifecycle);
   }
 
   /** Ends the handling of an event: plans what can start and hands out the actions. */
@@ -173,6 +176,9 @@
     for (EndedTask ended : report.ended()) {
       workerEvents.taskEnded(ended.task(), ended.outcome(), nowMillis);
     }
+    for (TaskUsage usage : report.usage()) {
+      memoryGuard.check(usage, nowMillis);
+    }
   }
 
   /** Notes that a worker gets no new work. */
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/schedule/impl/ShapePackerTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/schedule/impl/ShapePackerTest.java
@@ -53,9 +53,9 @@
     }
   }
 
-  private record Piece(int block, int size, boolean rackBound) {}
+  record Piece(int block, int size, boolean rackBound) {}
 
-  private static List<Piece> pieces(List<Block> blocks) {
+  static List<Piece> pieces(List<Block> blocks) {
     List<Piece> pieces = new ArrayList<>();
     for (int i = 0; i < blocks.size(); i++) {
       for (int size : blocks.get(i).pieces(WHOLE)) {
@@ -65,7 +65,7 @@
     return pieces;
   }
 
-  private static boolean isPackable(
+  static boolean isPackable(
       int[] room, int[] rackOf, List<Piece> pieces, int at, int[] rackChosen) {
     if (at == pieces.size()) {
       return true;
