Request path in the daemon, targets listed, one announcement document

Cause: the routing duty was finished but no instance ran it. Executors of the stand-in and the instance had two definitions of the announcement, and the stand-in moved to another instance before its lease at the first had ended.

Targets for operators straight from the router's state: TargetLoad is a copy made on the duty's thread.

Change: InstanceDaemon creates and registers the RoutingDuty, hands it the configuration in force and the domains that are out (registry view, and DomainOrders for the own domain), and on stop drains HTTP first, then the router, within one drain time. StatusView counts executors, GET /v1/targets lists workers of the keeper and executors of this instance. The stand-in declines a request beyond its slots with "not-run" and keeps to an instance until its lease there ends. A closed duty no longer offers for ever.

Before: no route for service requests in a daemon.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/request/RequestRouter.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/request/RequestRouter.java
@@ -96,6 +96,19 @@
     return wakes.nextMillis();
   }
 
+  /**
+   * Returns the executors that are attached to this instance.
+   *
+   * @param nowMillis present
+   * @since 0.1
+   */
+  public List<TargetLoad> targets(long nowMillis) {
+    return pools.values().stream()
+        .flatMap(pool -> pool.targets().values().stream())
+        .map(target -> target.load(nowMillis))
+        .toList();
+  }
+
   /**
    * Returns what this instance can offer to its peers for each service it has executors of.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/request/impl/TargetState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/request/impl/TargetState.java
@@ -3,6 +3,7 @@
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.request.AttemptOutcome;
 import org.primrosegauge.core.request.TargetAnnouncement;
+import org.primrosegauge.core.request.TargetLoad;
 import org.primrosegauge.core.request.cfg.RouterSettings;
 
 /**
@@ -123,6 +124,17 @@
     return occupied() + failureRate * FAILURE_PENALTY_SLOTS;
   }
 
+  /** Returns load and state, for operators. */
+  public TargetLoad load(long nowMillis) {
+    TargetLoad.State state = ejected ? TargetLoad.State.FAILING : TargetLoad.State.READY;
+    return new TargetLoad(
+        id(),
+        announcement.domain(),
+        isLive(nowMillis) ? state : TargetLoad.State.LEAVING,
+        occupied(),
+        announcement.capacity());
+  }
+
   /** Takes a slot. */
   public void take() {
     inFlight++;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
@@ -2,22 +2,24 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeSet;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.Revision;
 import org.primrosegauge.core.keeper.KeeperOffice;
+import org.primrosegauge.core.keeper.QuorumResult;
 import org.primrosegauge.core.keeper.cfg.KeeperSettings;
 import org.primrosegauge.core.log.cfg.LogSettings;
 import org.primrosegauge.core.registry.RegistryCommand;
 import org.primrosegauge.core.registry.RegistryResult;
 import org.primrosegauge.core.settings.SettingsException;
+import org.primrosegauge.core.site.DomainSwitch;
 import org.primrosegauge.core.site.SiteConfiguration;
 import org.primrosegauge.node.cfg.NodeSettings;
 import org.primrosegauge.node.cfg.PeerSettings;
@@ -34,6 +36,9 @@
 import org.primrosegauge.node.metrics.NodeMetrics;
 import org.primrosegauge.node.operator.DomainOrders;
 import org.primrosegauge.node.operator.OperatorApi;
+import org.primrosegauge.node.request.RequestPath;
+import org.primrosegauge.node.request.RoutingDuty;
+import org.primrosegauge.node.request.RoutingSettings;
 import org.primrosegauge.node.target.TargetApi;
 import org.primrosegauge.node.target.WorkerClient;
 import org.primrosegauge.node.transport.PeerAddress;
@@ -44,6 +49,7 @@
 import org.primrosegauge.wire.toml.SiteTomlReader;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServer;
 
 /**
@@ -61,8 +67,6 @@
   private static final Duration WORKER_TIMEOUT = Duration.ofSeconds(2);
   private static final int WORKER_LEASES_PER_LEASE = 5;
   private static final long DRIFT_PPM = 10_000;
-  private static final int OK = 200;
-  private static final int UNAVAILABLE = 503;
 
   private final NodeSettings settings;
   private final InstanceId self;
@@ -74,6 +78,8 @@
   private final RegistryService registry;
   private final WorkerClient workerClient = new WorkerClient(WORKER_TIMEOUT);
   private final KeeperDuty keeper;
+  private final SiteMembers members;
+  private final RoutingDuty requests;
   private final Membership membership;
   private final DomainOrders orders;
   private final Duty housekeeping;
@@ -98,9 +104,10 @@
     this.keeperSettings =
         new KeeperSettings(
             settings.timeouts().leaseMillis(), settings.timeouts().heartbeatMillis(), DRIFT_PPM);
+    this.members = new SiteMembers(settings);
     this.transport =
         new PeerTransport(self, new FrameCodec(MessageFamilies.TYPES), metrics, PeerSecurity.NONE);
-    this.registry = new RegistryService(self, transport, voters(), neighbours());
+    this.registry = new RegistryService(self, transport, members.voters(), members.neighbours());
     this.keeper =
         new KeeperDuty(
             domain,
@@ -117,12 +124,22 @@
         new Membership(
             self,
             "http://" + settings.http().advertised(),
-            members(),
+            members.domains(),
             System.currentTimeMillis(),
             transport,
             clock,
             this::ownState);
     this.orders = new DomainOrders(membership, registry, keeper, transport);
+    this.requests =
+        new RoutingDuty(
+            self,
+            domain,
+            RoutingSettings.DEFAULTS,
+            clock,
+            metrics,
+            new NoClaimStore(),
+            transport,
+            members::others);
     this.housekeeping =
         new Duty(
             "housekeeping",
@@ -143,6 +160,7 @@
    */
   public void start() {
     addRoutes();
+    requests.start();
     transport.start(settings.peer().listen().host(), settings.peer().listen().port());
     for (PeerSettings peer : settings.peers()) {
       transport.connect(new PeerAddress(peer.id(), peer.address().host(), peer.address().port()));
@@ -170,10 +188,11 @@
    * @since 0.1
    */
   public boolean stop() {
-    final boolean finished =
-        Boolean.TRUE.equals(
-            http.drain(Duration.ofMillis(settings.timeouts().drainMillis())).block());
+    final long deadline = clock.nowMillis() + settings.timeouts().drainMillis();
+    boolean answered = isTrue(http.drain(until(deadline)));
+    final boolean finished = isTrue(requests.drain(until(deadline))) && answered;
     housekeeping.close();
+    requests.close();
     keeper.close();
     if (log != null) {
       log.close();
@@ -185,38 +204,22 @@
     return finished;
   }
 
-  // Internals: settings
-
-  private List<InstanceId> voters() {
-    TreeSet<InstanceId> voters = new TreeSet<>();
-    if (settings.instance().voter()) {
-      voters.add(self);
-    }
-    settings.peers().stream().filter(PeerSettings::voter).forEach(peer -> voters.add(peer.id()));
-    return List.copyOf(voters);
+  private Duration until(long deadlineMillis) {
+    return Duration.ofMillis(Math.max(1, deadlineMillis - clock.nowMillis()));
   }
 
-  private List<InstanceId> neighbours() {
-    return settings.peers().stream()
-        .filter(peer -> peer.failureDomain().equals(domain))
-        .map(PeerSettings::id)
-        .filter(peer -> !peer.equals(self))
-        .toList();
+  private static boolean isTrue(Mono<Boolean> result) {
+    return Boolean.TRUE.equals(result.block());
   }
 
-  private Map<InstanceId, FailureDomainId> members() {
-    Map<InstanceId, FailureDomainId> members = new LinkedHashMap<>();
-    settings.peers().forEach(peer -> members.put(peer.id(), peer.failureDomain()));
-    members.put(self, domain);
-    return members;
-  }
+  // Internals: settings
 
   private LogDuty createLog(LogStorage storage) throws PrimrosegaugeException {
     int election = (int) settings.timeouts().electionMillis();
     RandomGenerator random =
         RandomGeneratorFactory.<RandomGenerator>of("L64X128MixRandom").create();
     return new LogDuty(
-        LogSettings.of(self, voters())
+        LogSettings.of(self, members.voters())
             .withTimings((int) settings.timeouts().heartbeatMillis(), election, 2 * election),
         keeperSettings,
         settings.limits().ringEvents(),
@@ -230,8 +233,7 @@
 
   // Internals: events
 
-  private reactor.core.publisher.Mono<org.primrosegauge.core.keeper.QuorumResult> proposeForKeeper(
-      RegistryCommand.KeeperCommand command) {
+  private Mono<QuorumResult> proposeForKeeper(RegistryCommand.KeeperCommand command) {
     return registry
         .propose(command)
         .ofType(RegistryResult.KeeperDecided.class)
@@ -244,16 +246,30 @@
         keeper.officeObserved(office);
       }
     }
+    requests.outOfService(domainsOut(view), Set.of());
     if (view.configuration().revision().compareTo(inForce) > 0) {
       putInForce(view);
     }
   }
 
+  /** The own domain may be out by an order that the log has not merged yet. */
+  private Set<FailureDomainId> domainsOut(RegistryView view) {
+    Stream<DomainSwitch> known =
+        Stream.concat(
+            view.switches().stream().filter(order -> !order.domain().equals(domain)),
+            orders.known(domain).stream());
+    return known
+        .filter(DomainSwitch::out)
+        .map(DomainSwitch::domain)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   private void putInForce(RegistryView view) {
     try {
       SiteConfiguration configuration =
           SiteTomlReader.read(
               "revision-" + view.configuration().revision(), view.configuration().content());
+      requests.configured(configuration);
       if (keeper.configured(configuration)) {
         inForce = view.configuration().revision();
         LOG.info("configuration revision {} is in force", inForce);
@@ -304,29 +320,11 @@
   // Internals: HTTP
 
   private void addRoutes() {
-    http.routeAlways(
-            HttpApi.Method.GET,
-            "/metrics",
-            x -> x.sendText(OK, "text/plain; version=0.0.4", metrics.prometheusText()))
-        .routeAlways(
-            HttpApi.Method.GET,
-            "/healthz",
-            x -> x.sendText(storageFailed ? UNAVAILABLE : OK, "text/plain", healthText()))
-        .routeAlways(
-            HttpApi.Method.GET,
-            "/readyz",
-            x -> x.sendText(isReady() ? OK : UNAVAILABLE, "text/plain", readyText()));
-    new TargetApi(membership, keeper).addTo(http);
+    HealthRoutes.addTo(http, metrics, () -> !storageFailed, this::isReady);
+    new TargetApi(membership, keeper, requests).addTo(http);
+    RequestPath.register(requests, http, transport, clock, metrics);
     new JobApi(membership, transport).addTo(http);
-    new OperatorApi(membership, registry, orders, voters(), this::status).addTo(http);
-  }
-
-  private String healthText() {
-    return storageFailed ? "storage failed\n" : "ok\n";
-  }
-
-  private String readyText() {
-    return isReady() ? "ready\n" : "not ready\n";
+    new OperatorApi(membership, registry, orders, members.voters(), this::status).addTo(http);
   }
 
   private StatusView status() {
@@ -339,7 +337,7 @@
         keeper.term(),
         inForce,
         keeper.workers(),
-        0,
+        requests.attachedExecutors(),
         keeper.queuedJobs(),
         keeper.runningJobs());
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/MessageFamilies.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/MessageFamilies.java
@@ -6,6 +6,7 @@
 import org.primrosegauge.node.job.JobMessage;
 import org.primrosegauge.node.log.RegistryMessage;
 import org.primrosegauge.node.operator.DomainMessage;
+import org.primrosegauge.node.request.RequestMessage;
 import org.primrosegauge.wire.MessageTypes;
 
 /** All messages that instances exchange. */
@@ -17,6 +18,7 @@
           .family("keeper", KeeperMessage.class)
           .family("registry", RegistryMessage.class)
           .family("job", JobMessage.class)
+          .family("request", RequestMessage.class)
           .family("domain", DomainMessage.class)
           .family("status", InstanceStatus.class)
           .build();
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
@@ -36,6 +36,7 @@
 import org.primrosegauge.node.target.WorkerClient;
 import org.primrosegauge.node.transport.PeerTransport;
 import org.primrosegauge.wire.api.JobView;
+import org.primrosegauge.wire.api.TargetView;
 import org.primrosegauge.wire.target.AnnouncementReply;
 import org.primrosegauge.wire.target.TaskEnd;
 import org.primrosegauge.wire.target.WorkerAnnouncement;
@@ -157,6 +158,15 @@
     return publishedWorkers;
   }
 
+  /**
+   * Returns the workers that hold a lease from this keeper.
+   *
+   * @since 0.1
+   */
+  public Mono<List<TargetView>> targets() {
+    return duty.ask(workers::views);
+  }
+
   /**
    * Returns the accelerators that no announced task uses.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/WorkerRegistry.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/WorkerRegistry.java
@@ -17,6 +17,7 @@
 import org.primrosegauge.core.schedule.WorkerDescription;
 import org.primrosegauge.core.schedule.WorkerReport;
 import org.primrosegauge.wire.WireMappers;
+import org.primrosegauge.wire.api.TargetView;
 import org.primrosegauge.wire.target.TaskEnd;
 import org.primrosegauge.wire.target.TaskReport;
 import org.primrosegauge.wire.target.WorkerAnnouncement;
@@ -56,6 +57,25 @@
     return known.size();
   }
 
+  /** Returns the workers that hold a lease, for operators. */
+  List<TargetView> views() {
+    List<TargetView> views = new ArrayList<>();
+    known.forEach((worker, entry) -> views.add(view(worker, entry.last())));
+    return views;
+  }
+
+  private static TargetView view(TargetId worker, WorkerAnnouncement last) {
+    int used = last.tasks().stream().mapToInt(task -> task.usage().accelerators()).sum();
+    return new TargetView(
+        worker,
+        "worker",
+        last.domain(),
+        last.rack().value(),
+        last.leaving() ? "leaving" : "ready",
+        used,
+        last.capacity().accelerators());
+  }
+
   /** Returns where a worker takes commands. */
   Optional<String> address(TargetId worker) {
     return Optional.ofNullable(known.get(worker)).map(entry -> entry.last().address());
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/request/ExecutorRoutes.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/request/ExecutorRoutes.java
@@ -1,11 +1,14 @@
 package org.primrosegauge.node.request;
 
+import org.primrosegauge.core.InvalidInputException;
 import org.primrosegauge.core.NotFoundException;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.request.TargetAnnouncement;
 import org.primrosegauge.node.http.HttpApi;
 import org.primrosegauge.node.http.HttpExchange;
+import org.primrosegauge.wire.target.AnnouncementReply;
+import org.primrosegauge.wire.target.ExecutorAnnouncement;
 import reactor.core.publisher.Mono;
 
 /**
@@ -17,11 +20,9 @@
 final class ExecutorRoutes {
 
   private static final int MAX_BODY_BYTES = 4_096;
+  private static final int MAX_SLOTS = 4_096;
   private static final int OK = 200;
 
-  /** Answer to an announcement. */
-  private record Reply(long leaseMillis) {}
-
   private final RoutingDuty duty;
 
   ExecutorRoutes(RoutingDuty duty) {
@@ -36,10 +37,41 @@
     TargetId id = TargetId.parse(exchange.pathPart("id"), "path");
     long lease = duty.settings().executorLeaseMillis();
     return exchange
-        .json(ExecutorReport.class, MAX_BODY_BYTES)
-        .flatMap(report -> Mono.fromCallable(() -> report.toAnnouncement(id, lease)))
+        .json(ExecutorAnnouncement.class, MAX_BODY_BYTES)
+        .flatMap(report -> Mono.fromCallable(() -> checked(id, report, lease)))
         .flatMap(this::announce)
-        .then(Mono.defer(() -> exchange.sendJson(OK, new Reply(lease))));
+        .then(Mono.defer(() -> exchange.sendJson(OK, new AnnouncementReply(lease, null, null))));
+  }
+
+  /** Checks what came from outside and adds what this instance decides. */
+  private static TargetAnnouncement checked(
+      TargetId id, ExecutorAnnouncement sent, long leaseMillis) throws InvalidInputException {
+    String address = sent.address();
+    require(address != null && address.startsWith("http://"), "address", "an http:// address");
+    require(sent.service() != null, "service", "the id of the service");
+    require(sent.domain() != null, "domain", "the id of the failure domain");
+    boolean slotsInRange = sent.slots() >= 1 && sent.slots() <= MAX_SLOTS;
+    require(slotsInRange, "slots", "a number from 1 to " + MAX_SLOTS);
+    require(sent.connections() >= 1, "connections", "a number from 1");
+    require(sent.inProgress() >= 0, "inProgress", "a number from 0");
+    return new TargetAnnouncement(
+        id,
+        sent.service(),
+        sent.domain(),
+        address,
+        sent.slots(),
+        sent.connections(),
+        sent.inProgress(),
+        sent.leaving(),
+        leaseMillis);
+  }
+
+  private static void require(boolean holds, String field, String expected)
+      throws InvalidInputException {
+    if (!holds) {
+      throw new InvalidInputException(
+          field + " is missing or out of range", "state " + expected, "body ." + field);
+    }
   }
 
   private Mono<Void> announce(TargetAnnouncement announcement) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/request/RoutingDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/request/RoutingDuty.java
@@ -28,6 +28,7 @@
 import org.primrosegauge.core.request.RequestRouter;
 import org.primrosegauge.core.request.RetryReason;
 import org.primrosegauge.core.request.TargetAnnouncement;
+import org.primrosegauge.core.request.TargetLoad;
 import org.primrosegauge.core.site.Service;
 import org.primrosegauge.core.site.SiteConfiguration;
 import org.primrosegauge.node.duty.Duty;
@@ -82,6 +83,8 @@
   private final Map<AttemptId, Disposable> running = new HashMap<>();
   private final Map<AttemptId, WholeAnswer> answers = new HashMap<>();
   private volatile Map<ServiceId, Service> services = Map.of();
+  private volatile int attached;
+  private volatile boolean closed;
   private long nextOfferMillis;
 
   /**
@@ -150,6 +153,7 @@
 
   @Override
   public void close() {
+    closed = true;
     duty.close();
     executors.close();
   }
@@ -165,6 +169,24 @@
     return Optional.ofNullable(services.get(id));
   }
 
+  /**
+   * Returns the number of executors attached to this instance, at the last tick.
+   *
+   * @since 0.1
+   */
+  public int attachedExecutors() {
+    return attached;
+  }
+
+  /**
+   * Returns the executors attached to this instance.
+   *
+   * @since 0.1
+   */
+  public Mono<List<TargetLoad>> targets() {
+    return duty.ask(() -> router.targets(clock.nowMillis()));
+  }
+
   /**
    * Returns the settings.
    *
@@ -257,6 +279,7 @@
     carryOut(router.tick(nowMillis));
     if (nowMillis >= nextOfferMillis) {
       nextOfferMillis = nowMillis + settings.offerMillis();
+      attached = router.targets(nowMillis).size();
       RequestMessage.Offers offers = new RequestMessage.Offers(router.offers(self, nowMillis));
       peers.get().forEach(peer -> transport.tell(peer, offers));
     }
@@ -386,9 +409,9 @@
     }
   }
 
-  /** Hands over what must not get lost. */
+  /** Hands over what must not get lost while the duty runs. */
   private void insist(Runnable task) {
-    if (!duty.offer(task)) {
+    if (!duty.offer(task) && !closed) {
       Mono.delay(RING_RETRY).subscribe(passed -> insist(task));
     }
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/target/TargetApi.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/target/TargetApi.java
@@ -1,21 +1,28 @@
 package org.primrosegauge.node.target;
 
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.InvalidInputException;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.membership.InstanceStatus;
+import org.primrosegauge.core.request.TargetLoad;
 import org.primrosegauge.node.http.HttpApi;
 import org.primrosegauge.node.http.HttpExchange;
 import org.primrosegauge.node.keeper.KeeperDuty;
 import org.primrosegauge.node.membership.Membership;
+import org.primrosegauge.node.request.RoutingDuty;
+import org.primrosegauge.wire.api.TargetView;
 import org.primrosegauge.wire.target.AnnouncementReply;
 import org.primrosegauge.wire.target.WorkerAnnouncement;
 import reactor.core.publisher.Mono;
 
 /**
- * Interface for workers: they announce themselves to any instance of their failure domain and are
- * sent on to its keeper.
+ * Interface for workers, which announce themselves to any instance of their failure domain and are
+ * sent on to its keeper, and the list of this instance's targets for operators.
  *
  * <p>Thread-safe: it keeps no state.
  *
@@ -28,15 +35,17 @@
 
   private final Membership membership;
   private final KeeperDuty keeper;
+  private final RoutingDuty requests;
 
   /**
    * Creates the interface.
    *
    * @since 0.1
    */
-  public TargetApi(Membership membership, KeeperDuty keeper) {
+  public TargetApi(Membership membership, KeeperDuty keeper, RoutingDuty requests) {
     this.membership = membership;
     this.keeper = keeper;
+    this.requests = requests;
   }
 
   /**
@@ -45,7 +54,30 @@
    * @since 0.1
    */
   public void addTo(HttpApi http) {
-    http.routeAlways(HttpApi.Method.POST, "/v1/targets/workers/{id}", this::announceWorker);
+    http.routeAlways(HttpApi.Method.POST, "/v1/targets/workers/{id}", this::announceWorker)
+        .routeAlways(HttpApi.Method.GET, "/v1/targets", this::list);
+  }
+
+  private Mono<Void> list(HttpExchange exchange) {
+    return Mono.zip(keeper.targets(), requests.targets(), TargetApi::joined)
+        .flatMap(targets -> exchange.sendJson(OK, targets));
+  }
+
+  private static List<TargetView> joined(List<TargetView> workers, List<TargetLoad> executors) {
+    return Stream.concat(workers.stream(), executors.stream().map(TargetApi::view))
+        .sorted(Comparator.comparing(TargetView::id))
+        .toList();
+  }
+
+  private static TargetView view(TargetLoad executor) {
+    return new TargetView(
+        executor.id(),
+        "executor",
+        executor.domain(),
+        null,
+        executor.state().name().toLowerCase(Locale.ROOT),
+        executor.occupied(),
+        executor.capacity());
   }
 
   private Mono<Void> announceWorker(HttpExchange exchange) throws PrimrosegaugeException {
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/StandinClient.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/StandinClient.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.primrosegauge.wire.WireMappers;
 import org.primrosegauge.wire.target.AnnouncementReply;
 import reactor.core.publisher.Flux;
@@ -12,7 +13,8 @@
 import reactor.netty.http.client.HttpClient;
 
 /**
- * Announces a stand-in to instances. When one does not answer, the next in the list is tried.
+ * Announces a stand-in to instances. When one does not answer, the next in the list is tried; an
+ * executor waits until its lease at the first one has ended, so that two never send to it.
  *
  * <p>Used by one announcement loop at a time.
  */
@@ -24,9 +26,12 @@
   private final HttpClient http = HttpClient.create().responseTimeout(TIMEOUT);
   private final List<String> instances;
   private int next;
+  private final boolean keepsLease;
   private String current;
+  private long leaseEndNanos = System.nanoTime();
 
-  StandinClient(List<String> instances, int first) {
+  StandinClient(List<String> instances, int first, boolean keepsLease) {
+    this.keepsLease = keepsLease;
     this.instances = List.copyOf(instances);
     this.next = first % instances.size();
     this.current = this.instances.get(this.next);
@@ -60,12 +65,16 @@
   }
 
   private void follow(AnnouncementReply reply) {
+    leaseEndNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(reply.leaseMillis());
     if (reply.announceTo() != null) {
       current = reply.announceTo();
     }
   }
 
   private void advance() {
+    if (keepsLease && System.nanoTime() - leaseEndNanos < 0) {
+      return;
+    }
     next = (next + 1) % instances.size();
     current = instances.get(next);
   }
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
@@ -99,6 +99,7 @@
     workers.put(worker.id(), worker);
     announceForever(
         "/v1/targets/workers/" + worker.id(),
+        false,
         () -> worker.announcement(nowMillis()),
         worker::acknowledged);
   }
@@ -110,16 +111,19 @@
    */
   public void add(ExecutorStandin executor) {
     executors.put(executor.id(), executor);
-    announceForever("/v1/targets/executors/" + executor.id(), executor::announcement, reply -> {});
+    announceForever(
+        "/v1/targets/executors/" + executor.id(), true, executor::announcement, reply -> {});
   }
 
   // Internals
 
   private void announceForever(
       String path,
+      boolean keepsLease,
       Supplier<Object> announcement,
       java.util.function.Consumer<AnnouncementReply> onReply) {
-    StandinClient client = new StandinClient(instances, workers.size() + executors.size());
+    StandinClient client =
+        new StandinClient(instances, workers.size() + executors.size(), keepsLease);
     loops.add(
         Mono.defer(() -> client.announce(path, announcement.get()))
             .doOnNext(onReply)
@@ -167,11 +171,11 @@
     if (executor == null) {
       return response.sendNotFound();
     }
-    if (!executor.begin()) {
-      return response.status(503).send();
-    }
     response.header("primrosegauge-request", request.param("request"));
     response.header("primrosegauge-attempt", request.param("attempt"));
+    if (!executor.begin()) {
+      return response.status(503).header("primrosegauge-execution", "not-run").send();
+    }
     if (executor.isFailing()) {
       executor.end();
       return response.status(500).send();
