--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
@@ -100,6 +100,7 @@
     workers.put(worker.id(), worker);
     announceForever(
         "/v1/targets/workers/" + worker.id(),
+        false,
         () -> worker.announcement(nowMillis()),
         worker::acknowledged);
   }
@@ -112,14 +113,21 @@
   public void add(ExecutorStandin executor) {
     executors.put(executor.id(), executor);
     announceForever(
-        "/v1/targets/executors/" + executor.id(), executor::announcement, (reply, sent) -> {});
+        "/v1/targets/executors/" + executor.id(),
+        true,
+        executor::announcement,
+        (reply, sent) -> {});
   }
 
   // Internals
 
   private void announceForever(
-      String path, Supplier<Object> announcement, ObjLongConsumer<AnnouncementReply> onReply) {
-    StandinClient client = new StandinClient(instances, workers.size() + executors.size());
+      String path,
+      boolean keepsLease,
+      Supplier<Object> announcement,
+      ObjLongConsumer<AnnouncementReply> onReply) {
+    StandinClient client =
+        new StandinClient(instances, workers.size() + executors.size(), keepsLease);
     loops.add(
         Mono.defer(
                 () -> {
@@ -172,11 +180,11 @@
     if (executor == null) {
       return response.sendNotFound();
     }
-    if (!executor.begin()) {
-      return response.status(503).send();
-    }
     response.header("primrosegauge-request", request.param("request"));
     response.header("primrosegauge-attempt", request.param("attempt"));
+    if (!executor.begin()) {
+      return response.status(503).header("primrosegauge-execution", "not-run").send();
+    }
     if (executor.isFailing()) {
       executor.end();
       return response.status(500).send();
