--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobApi.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobApi.java
@@ -11,6 +11,7 @@
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.job.HomeDomains;
+import org.primrosegauge.core.job.JobLedger;
 import org.primrosegauge.core.job.JobSpec;
 import org.primrosegauge.core.security.AccessPolicy;
 import org.primrosegauge.core.security.Operation;
@@ -140,7 +141,7 @@
                           exchange.caller(),
                           operation,
                           owner(view),
-                          JobMessage.absent(id, view.domain()));
+                          JobLedger.absent(id, view.domain()));
                       return view;
                     }));
   }
@@ -179,12 +180,17 @@
   }
 
   private Mono<JobMessage> askDomain(FailureDomainId domain, JobMessage.Question question) {
-    InstanceId keeper = membership.keeperOf(domain).orElse(null);
-    if (keeper == null) {
+    InstanceId receiver = membership.keeperOf(domain).orElse(null);
+    boolean reads = question instanceof JobMessage.Show || question instanceof JobMessage.ListAll;
+    if (receiver == null && reads) {
+      // Every instance of the domain has the records that the last keeper handed on.
+      receiver = membership.membersOf(domain).get(0);
+    }
+    if (receiver == null) {
       return Mono.error(noKeeper(domain));
     }
     return transport
-        .ask(keeper, question, JobMessage.class, ASK_TIMEOUT)
+        .ask(receiver, question, JobMessage.class, ASK_TIMEOUT)
         .flatMap(
             answer ->
                 answer instanceof JobMessage.Refused refused
