--- a/primrosegauge-cli/src/main/java/org/primrosegauge/cli/PrimrosegaugeCommand.java
+++ b/primrosegauge-cli/src/main/java/org/primrosegauge/cli/PrimrosegaugeCommand.java
@@ -44,7 +44,8 @@
       "Exit codes:",
       "  0 done, 1 faults in the input, 2 wrong command line, 3 not found, 4 conflict,",
       "  5 not allowed, 6 nothing done and trying again helps, 7 outcome unknown,",
-      "  8 not yet in force everywhere, 9 the job did not succeed, 70 internal fault"
+      "  8 not yet in force everywhere, 9 the job did not succeed, 70 internal fault,",
+      "  75 serve stopped before the work in flight was finished"
     })
 public final class PrimrosegaugeCommand extends CommandBase {
 
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceRunner.java
@@ -4,6 +4,7 @@
 import ch.qos.logback.classic.Logger;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.StorageException;
 import org.primrosegauge.node.cfg.NodeSettings;
@@ -19,6 +20,12 @@
  */
 public final class InstanceRunner {
 
+  /** Exit code after a graceful end. */
+  public static final int STOPPED = 0;
+
+  /** Exit code when the drain time ended before the work in flight did. */
+  public static final int CUT_OFF = 75;
+
   private static final String LOG_FOLDER = "log";
 
   private InstanceRunner() {}
@@ -33,16 +40,20 @@
     setLevel(settings);
     CompletableFuture<StorageException> failure = new CompletableFuture<>();
     InstanceDaemon daemon = new InstanceDaemon(settings, openStorage(settings), failure::complete);
+    AtomicBoolean started = new AtomicBoolean();
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(
                 () -> {
-                  if (!failure.isDone()) {
-                    daemon.stop();
+                  if (!failure.isDone() && started.get()) {
+                    boolean finished = daemon.stop();
+                    // A virtual machine that ends by a signal would report the signal instead.
+                    Runtime.getRuntime().halt(finished ? STOPPED : CUT_OFF);
                   }
                 },
                 "shutdown"));
     daemon.start();
+    started.set(true);
     try {
       throw failure.get();
     } catch (InterruptedException e) {
