--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/job/JobLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/job/JobLedger.java
@@ -333,13 +333,22 @@
     return !record.isFinal() && record.home().equals(domain) && record.transferTo().isEmpty();
   }
 
+  /**
+   * Returns the error for a job that is not known, or that a caller may not know of.
+   *
+   * @since 0.1
+   */
+  public static NotFoundException absent(JobId job, FailureDomainId domain) {
+    return new NotFoundException(
+        "job " + job + " is not known in failure domain " + domain,
+        "check the id; final answers are kept for a limited time",
+        "");
+  }
+
   private LedgerEntry require(JobId job) throws NotFoundException {
     LedgerEntry entry = entries.get(job);
     if (entry == null) {
-      throw new NotFoundException(
-          "job " + job + " is not known in failure domain " + domain,
-          "check the id; final answers are kept for a limited time",
-          "");
+      throw absent(job, domain);
     }
     return entry;
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobApi.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobApi.java
@@ -11,6 +11,7 @@
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.job.HomeDomains;
+import org.primrosegauge.core.job.JobLedger;
 import org.primrosegauge.core.job.JobSpec;
 import org.primrosegauge.core.security.AccessPolicy;
 import org.primrosegauge.core.security.Operation;
@@ -140,7 +141,7 @@
                           exchange.caller(),
                           operation,
                           owner(view),
-                          JobMessage.absent(id, view.domain()));
+                          JobLedger.absent(id, view.domain()));
                       return view;
                     }));
   }
