--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/keeper/KeeperLease.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/keeper/KeeperLease.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.TreeSet;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.Term;
@@ -41,12 +40,8 @@
   private long leaseUntil = Long.MIN_VALUE;
   private SetView sets = SetView.NONE;
   private long acknowledgeAt = Long.MIN_VALUE;
-  private long round;
-  private long roundSentAt;
-  private final TreeSet<InstanceId> grants = new TreeSet<>();
-  private long request;
-  private boolean requestOpen;
-  private long requestSentAt;
+  private final RenewalRound round = new RenewalRound();
+  private final QuorumRequest request = new QuorumRequest();
   private long nextAttemptAt = Long.MIN_VALUE;
 
   // Life-cycle
@@ -93,12 +88,8 @@
     leaseUntil = snapshot.leaseUntil();
     sets = snapshot.sets();
     acknowledgeAt = snapshot.acknowledgeAt();
-    round = snapshot.round();
-    roundSentAt = snapshot.roundSentAt();
-    grants.addAll(snapshot.grants());
-    request = snapshot.request();
-    requestOpen = snapshot.requestOpen();
-    requestSentAt = snapshot.requestSentAt();
+    round.restore(snapshot.round(), snapshot.roundSentAt(), snapshot.grants());
+    request.restore(snapshot.request(), snapshot.requestOpen(), snapshot.requestSentAt());
     nextAttemptAt = snapshot.nextAttemptAt();
   }
 
@@ -165,12 +156,12 @@
         leaseUntil,
         sets,
         acknowledgeAt,
-        round,
-        roundSentAt,
-        List.copyOf(grants),
-        request,
-        requestOpen,
-        requestSentAt,
+        round.number(),
+        round.sentAt(),
+        round.grants(),
+        request.number(),
+        request.isOpen(),
+        request.sentAt(),
         nextAttemptAt);
   }
 
@@ -225,7 +216,7 @@
   public List<KeeperAction> acquireResult(long number, QuorumResult result, long nowMillis) {
     List<KeeperAction> actions = new ArrayList<>();
     refresh(nowMillis, actions);
-    boolean expected = closeRequest(number);
+    boolean expected = request.close(number);
     learn(result.office(), nowMillis, actions);
     Term term = result.office().term();
     if (expected && result.isGranted() && !isInOffice() && !highest.isAfter(term)) {
@@ -245,7 +236,7 @@
   public List<KeeperAction> renewResult(long number, QuorumResult result, long nowMillis) {
     List<KeeperAction> actions = new ArrayList<>();
     refresh(nowMillis, actions);
-    boolean expected = closeRequest(number);
+    boolean expected = request.close(number);
     if (expected && result.isGranted() && isInOffice() && result.office().term().equals(office)) {
       extend(leaseStart(nowMillis));
     }
@@ -268,20 +259,18 @@
   // Holder
 
   private void renew(long nowMillis, List<KeeperAction> actions) {
-    round++;
-    roundSentAt = nowMillis;
-    grants.clear();
+    round.open(nowMillis);
     for (InstanceId peer : sets.required()) {
       if (!peer.equals(self)) {
         actions.add(
             new KeeperAction.Send(
-                peer, new KeeperMessage.RenewRequest(domain, self, office, round)));
+                peer, new KeeperMessage.RenewRequest(domain, self, office, round.number())));
       }
     }
     extendIfComplete(nowMillis);
     if (isHalfSpent(nowMillis)) {
-      openRequest(nowMillis);
-      actions.add(new KeeperAction.ProposeRenew(request, domain, self, office));
+      request.open(nowMillis);
+      actions.add(new KeeperAction.ProposeRenew(request.number(), domain, self, office));
     }
   }
 
@@ -291,18 +280,17 @@
   }
 
   private void count(KeeperMessage.RenewGrant grant, long nowMillis) {
-    boolean current = isInOffice() && grant.term().equals(office) && grant.round() == round;
+    boolean current =
+        isInOffice() && grant.term().equals(office) && grant.round() == round.number();
     if (current && sets.required().contains(grant.from())) {
-      grants.add(grant.from());
+      round.granted(grant.from());
       extendIfComplete(nowMillis);
     }
   }
 
   private void extendIfComplete(long nowMillis) {
-    boolean complete =
-        sets.required().stream().allMatch(peer -> peer.equals(self) || grants.contains(peer));
-    if (round > 0 && complete) {
-      extend(rules.countFromRequest() ? roundSentAt : nowMillis);
+    if (round.isComplete(sets.required(), self)) {
+      extend(rules.countFromRequest() ? round.sentAt() : nowMillis);
     }
   }
 
@@ -311,15 +299,15 @@
   }
 
   private long leaseStart(long nowMillis) {
-    return rules.countFromRequest() ? requestSentAt : nowMillis;
+    return rules.countFromRequest() ? request.sentAt() : nowMillis;
   }
 
   // Candidate
 
   private void acquire(long nowMillis, List<KeeperAction> actions) {
     if (!isBound(nowMillis) && sets.isEligible(self)) {
-      openRequest(nowMillis);
-      actions.add(new KeeperAction.ProposeAcquire(request, domain, self, highest));
+      request.open(nowMillis);
+      actions.add(new KeeperAction.ProposeAcquire(request.number(), domain, self, highest));
     }
   }
 
@@ -327,8 +315,7 @@
     office = term;
     announced = false;
     leaseUntil = untilMillis;
-    round = 0;
-    grants.clear();
+    round.reset();
     nextAttemptAt = nowMillis;
     // The lease of the new term comes from the quorum and relies on no instance set.
     acknowledgeAt = nowMillis;
@@ -388,8 +375,7 @@
     }
     final boolean pendingIsNew = observed.sets().latest().version() > sets.latest().version();
     sets = observed.sets();
-    grants.clear();
-    round++;
+    round.abandon();
     if (isInOffice() && !sets.latest().contains(self)) {
       leave(actions);
     }
@@ -423,19 +409,7 @@
     actions.add(new KeeperAction.LostOffice(office));
     office = Term.NONE;
     announced = false;
-    grants.clear();
-  }
-
-  private void openRequest(long nowMillis) {
-    request++;
-    requestOpen = true;
-    requestSentAt = nowMillis;
-  }
-
-  private boolean closeRequest(long number) {
-    boolean expected = requestOpen && number == request;
-    requestOpen = requestOpen && !expected;
-    return expected;
+    round.abandon();
   }
 
   private boolean isInOffice() {
