--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.StorageException;
 import org.primrosegauge.core.keeper.KeeperOffice;
 import org.primrosegauge.core.keeper.cfg.KeeperSettings;
 import org.primrosegauge.core.log.cfg.LogSettings;
@@ -28,6 +30,7 @@
 import org.primrosegauge.node.keeper.KeeperDuty;
 import org.primrosegauge.node.log.LogDuty;
 import org.primrosegauge.node.log.LogStorage;
+import org.primrosegauge.node.log.RegistryJobLog;
 import org.primrosegauge.node.log.RegistryService;
 import org.primrosegauge.node.log.RegistryView;
 import org.primrosegauge.node.membership.Membership;
@@ -37,7 +40,6 @@
 import org.primrosegauge.node.target.TargetApi;
 import org.primrosegauge.node.target.WorkerClient;
 import org.primrosegauge.node.transport.PeerAddress;
-import org.primrosegauge.node.transport.PeerSecurity;
 import org.primrosegauge.node.transport.PeerTransport;
 import org.primrosegauge.wire.FrameCodec;
 import org.primrosegauge.wire.api.StatusView;
@@ -65,11 +67,13 @@
   private static final int UNAVAILABLE = 503;
 
   private final NodeSettings settings;
+  private final Consumer<StorageException> onStorageFailure;
   private final InstanceId self;
   private final FailureDomainId domain;
   private final MonotonicClock clock = MonotonicClock.system();
   private final NodeMetrics metrics = new NodeMetrics();
   private final HttpApi http = new HttpApi();
+  private final InstanceSecurity security;
   private final PeerTransport transport;
   private final RegistryService registry;
   private final WorkerClient workerClient = new WorkerClient(WORKER_TIMEOUT);
@@ -88,18 +92,23 @@
    * Creates an instance that does not run yet.
    *
    * @param storage durable storage of the log; used on voters only
+   * @param onStorageFailure told once when the storage becomes unusable; the process must then end
    * @throws PrimrosegaugeException when the storage cannot be recovered
    * @since 0.1
    */
-  public InstanceDaemon(NodeSettings settings, LogStorage storage) throws PrimrosegaugeException {
+  public InstanceDaemon(
+      NodeSettings settings, LogStorage storage, Consumer<StorageException> onStorageFailure)
+      throws PrimrosegaugeException {
     this.settings = settings;
+    this.onStorageFailure = onStorageFailure;
     this.self = settings.instance().id();
     this.domain = settings.instance().failureDomain();
     this.keeperSettings =
         new KeeperSettings(
             settings.timeouts().leaseMillis(), settings.timeouts().heartbeatMillis(), DRIFT_PPM);
+    this.security = InstanceSecurity.open(settings);
     this.transport =
-        new PeerTransport(self, new FrameCodec(MessageFamilies.TYPES), metrics, PeerSecurity.NONE);
+        new PeerTransport(self, new FrameCodec(MessageFamilies.TYPES), metrics, security.peers());
     this.registry = new RegistryService(self, transport, voters(), neighbours());
     this.keeper =
         new KeeperDuty(
@@ -111,12 +120,14 @@
             clock,
             transport,
             this::proposeForKeeper,
+            new RegistryJobLog(registry),
+            neighbours(),
             workerClient,
             metrics);
     this.membership =
         new Membership(
             self,
-            "http://" + settings.http().advertised(),
+            security.scheme() + "://" + settings.http().advertised(),
             members(),
             System.currentTimeMillis(),
             transport,
@@ -153,8 +164,11 @@
     }
     keeper.start();
     housekeeping.start();
+    http.authenticator(security.authenticator());
     http.start(
-        HttpServer.create(), settings.http().listen().host(), settings.http().listen().port());
+        security.secure(HttpServer.create()),
+        settings.http().listen().host(),
+        settings.http().listen().port());
     LOG.info(
         "instance {} of failure domain {} serves on {}",
         self,
@@ -181,6 +195,7 @@
     http.close();
     transport.close();
     workerClient.close();
+    security.close();
     LOG.info("instance {} stopped, everything in flight finished: {}", self, finished);
     return finished;
   }
@@ -225,11 +240,16 @@
         clock,
         transport,
         registry::update,
-        failure -> storageFailed = true);
+        this::storageFailed);
   }
 
   // Internals: events
 
+  private void storageFailed(StorageException failure) {
+    storageFailed = true;
+    onStorageFailure.accept(failure);
+  }
+
   private reactor.core.publisher.Mono<org.primrosegauge.core.keeper.QuorumResult> proposeForKeeper(
       RegistryCommand.KeeperCommand command) {
     return registry
