--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
@@ -111,15 +111,14 @@
    */
   public void add(ExecutorStandin executor) {
     executors.put(executor.id(), executor);
-    announceForever("/v1/targets/executors/" + executor.id(), executor::announcement, (reply, sent) -> {});
+    announceForever(
+        "/v1/targets/executors/" + executor.id(), executor::announcement, (reply, sent) -> {});
   }
 
   // Internals
 
   private void announceForever(
-      String path,
-      Supplier<Object> announcement,
-      ObjLongConsumer<AnnouncementReply> onReply) {
+      String path, Supplier<Object> announcement, ObjLongConsumer<AnnouncementReply> onReply) {
     StandinClient client = new StandinClient(instances, workers.size() + executors.size());
     loops.add(
         Mono.defer(
