--- /dev/null
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/journal/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmark of the journal. */
+package org.primrosegauge.bench.journal;
