--- /dev/null
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/replication/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmark of how changes reach all instances. */
+package org.primrosegauge.bench.replication;
