Workers renew without repeating their tasks

Cause: at the target size a keeper hears 133 workers with 18 tasks each; a full announcement is some 12 KB, so 27 a second would be about 300 KB/s against 15 KB/s allowed (worked out, not measured). Ruled out: rarer announcements alone (a lost worker would be noticed too late). Change: a worker whose tasks have not changed since the keeper acknowledged them sends a renewal that names the version.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
@@ -43,6 +43,7 @@
 import org.primrosegauge.wire.target.AnnouncementReply;
 import org.primrosegauge.wire.target.TaskEnd;
 import org.primrosegauge.wire.target.WorkerAnnouncement;
+import org.primrosegauge.wire.target.WorkerRenewal;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
@@ -219,6 +220,26 @@
     return duty.ask(() -> takeAnnouncement(worker, announcement));
   }
 
+  /**
+   * Takes the renewal of a worker whose announcement has not changed.
+   *
+   * @return the reply, with a lease of 0 when a full announcement is needed; empty when this
+   *     instance is not the keeper
+   * @since 0.1
+   */
+  public Mono<Optional<AnnouncementReply>> renewed(TargetId worker, WorkerRenewal renewal) {
+    return duty.ask(
+        () -> {
+          long now = clock.nowMillis();
+          if (!lease.mayStart(now)) {
+            return Optional.empty();
+          }
+          boolean known = workers.renew(worker, renewal.version(), now);
+          long leaseMillis = known ? workers.leaseMillis() : 0;
+          return Optional.of(new AnnouncementReply(leaseMillis, null, null));
+        });
+  }
+
   /**
    * Takes over a configuration.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/WorkerRegistry.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/WorkerRegistry.java
@@ -86,6 +86,20 @@
     known.put(worker, new Known(announcement, nowMillis + leaseMillis));
   }
 
+  /**
+   * Renews the lease of a worker that says that nothing has changed.
+   *
+   * @return whether the version is the one known here; otherwise a full announcement is needed
+   */
+  boolean renew(TargetId worker, long version, long nowMillis) {
+    Known entry = known.get(worker);
+    if (entry == null || entry.last().version() != version) {
+      return false;
+    }
+    announced(worker, entry.last(), nowMillis);
+    return true;
+  }
+
   /** Removes and returns the workers whose lease has run out. */
   List<TargetId> expire(long nowMillis) {
     List<TargetId> expired = new ArrayList<>();
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/target/TargetApi.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/target/TargetApi.java
@@ -18,6 +18,7 @@
 import org.primrosegauge.wire.api.TargetView;
 import org.primrosegauge.wire.target.AnnouncementReply;
 import org.primrosegauge.wire.target.WorkerAnnouncement;
+import org.primrosegauge.wire.target.WorkerRenewal;
 import reactor.core.publisher.Mono;
 
 /**
@@ -31,6 +32,7 @@
 public final class TargetApi {
 
   private static final int MAX_ANNOUNCEMENT_BYTES = 1024 * 1024;
+  private static final int MAX_RENEWAL_BYTES = 256;
   private static final int OK = 200;
 
   private final Membership membership;
@@ -55,6 +57,7 @@
    */
   public void addTo(HttpApi http) {
     http.routeAlways(HttpApi.Method.POST, "/v1/targets/workers/{id}", this::announceWorker)
+        .routeAlways(HttpApi.Method.POST, "/v1/targets/workers/{id}/renewal", this::renewWorker)
         .routeAlways(HttpApi.Method.GET, "/v1/targets", this::list);
   }
 
@@ -90,6 +93,15 @@
         .flatMap(reply -> exchange.sendJson(OK, reply));
   }
 
+  private Mono<Void> renewWorker(HttpExchange exchange) throws PrimrosegaugeException {
+    TargetId id = TargetId.parse(exchange.pathPart("id"), "path");
+    return exchange
+        .json(WorkerRenewal.class, MAX_RENEWAL_BYTES)
+        .flatMap(renewal -> keeper.renewed(id, renewal))
+        .flatMap(reply -> reply.map(Mono::just).orElseGet(this::redirect))
+        .flatMap(reply -> exchange.sendJson(OK, reply));
+  }
+
   private Mono<WorkerAnnouncement> checked(WorkerAnnouncement announcement) {
     boolean complete =
         announcement.address() != null
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
@@ -4,9 +4,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.function.ObjLongConsumer;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.TargetId;
@@ -14,6 +15,8 @@
 import org.primrosegauge.wire.WireMappers;
 import org.primrosegauge.wire.target.AnnouncementReply;
 import org.primrosegauge.wire.target.TaskCommand;
+import org.primrosegauge.wire.target.WorkerAnnouncement;
+import org.primrosegauge.wire.target.WorkerRenewal;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Flux;
@@ -98,11 +101,11 @@
    */
   public void add(WorkerStandin worker) {
     workers.put(worker.id(), worker);
+    String path = "/v1/targets/workers/" + worker.id();
     announceForever(
-        "/v1/targets/workers/" + worker.id(),
         false,
-        () -> worker.announcement(nowMillis()),
-        worker::acknowledged);
+        () -> workerMessage(path, worker),
+        (reply, message) -> worker.acknowledged(reply, message.sentMillis(), message.version()));
   }
 
   /**
@@ -112,29 +115,40 @@
    */
   public void add(ExecutorStandin executor) {
     executors.put(executor.id(), executor);
+    String path = "/v1/targets/executors/" + executor.id();
     announceForever(
-        "/v1/targets/executors/" + executor.id(),
         true,
-        executor::announcement,
-        (reply, sent) -> {});
+        () -> new Message(path, executor.announcement(), 0, nowMillis()),
+        (reply, message) -> {});
   }
 
   // Internals
 
+  /** One announcement or renewal on its way. */
+  private record Message(String path, Object body, long version, long sentMillis) {}
+
+  private static Message workerMessage(String path, WorkerStandin worker) {
+    long now = nowMillis();
+    OptionalLong unchanged = worker.unchangedVersion(now);
+    if (unchanged.isPresent()) {
+      long version = unchanged.getAsLong();
+      return new Message(path + "/renewal", new WorkerRenewal(version), version, now);
+    }
+    WorkerAnnouncement full = worker.announcement(now);
+    return new Message(path, full, full.version(), now);
+  }
+
   private void announceForever(
-      String path,
-      boolean keepsLease,
-      Supplier<Object> announcement,
-      ObjLongConsumer<AnnouncementReply> onReply) {
+      boolean keepsLease, Supplier<Message> next, BiConsumer<AnnouncementReply, Message> onReply) {
     StandinClient client =
         new StandinClient(instances, workers.size() + executors.size(), keepsLease);
     loops.add(
         Mono.defer(
                 () -> {
-                  long sent = nowMillis();
+                  Message message = next.get();
                   return client
-                      .announce(path, announcement.get())
-                      .doOnNext(reply -> onReply.accept(reply, sent));
+                      .announce(message.path(), message.body())
+                      .doOnNext(reply -> onReply.accept(reply, message));
                 })
             .then(Mono.delay(announceInterval))
             .repeat()
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/WorkerStandin.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/WorkerStandin.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -61,6 +62,8 @@
   private Term highestTerm = Term.NONE;
   private long leaseUntil = Long.MAX_VALUE;
   private boolean leaving;
+  private long version = System.currentTimeMillis();
+  private long acknowledgedVersion;
 
   /**
    * Creates an idle worker.
@@ -104,6 +107,7 @@
       return TaskCommandReply.refused("stale term " + command.term() + " < " + highestTerm);
     }
     highestTerm = command.term();
+    version++;
     return switch (command.action()) {
       case RESERVE -> reserve(task, command, nowMillis);
       case START -> start(task, command, nowMillis);
@@ -135,6 +139,7 @@
         });
     for (TaskId task : due) {
       HeldTask state = held.remove(task);
+      version++;
       if (state.running) {
         end(task, state.fails ? TaskEnd.Outcome.FAILED : TaskEnd.Outcome.DONE);
       }
@@ -148,6 +153,7 @@
    */
   public synchronized void leave() {
     leaving = true;
+    version++;
   }
 
   /**
@@ -162,7 +168,18 @@
         (task, state) ->
             tasks.add(new TaskReport(task, state.running, state.resources, state.record)));
     return new WorkerAnnouncement(
-        address, domain, rack, capacity, leaving, tasks, List.copyOf(ended.values()));
+        address, domain, rack, capacity, leaving, tasks, List.copyOf(ended.values()), version);
+  }
+
+  /**
+   * Returns the version of what {@link #announcement} would say, if the keeper has acknowledged
+   * just that; a renewal is then enough.
+   *
+   * @since 0.1
+   */
+  public synchronized OptionalLong unchangedVersion(long nowMillis) {
+    advance(nowMillis);
+    return version == acknowledgedVersion ? OptionalLong.of(version) : OptionalLong.empty();
   }
 
   /**
@@ -170,14 +187,21 @@
    * acknowledged.
    *
    * @param sentMillis when the announcement was sent; the lease counts from then
+   * @param sentVersion version that was sent
    * @since 0.1
    */
-  public synchronized void acknowledged(AnnouncementReply reply, long sentMillis) {
+  public synchronized void acknowledged(
+      AnnouncementReply reply, long sentMillis, long sentVersion) {
     if (reply.leaseMillis() > 0) {
       leaseUntil = sentMillis + reply.leaseMillis();
+      acknowledgedVersion = sentVersion;
+    } else {
+      acknowledgedVersion = 0;
     }
     if (reply.acknowledged() != null) {
-      reply.acknowledged().forEach(ended::remove);
+      if (ended.keySet().removeAll(reply.acknowledged())) {
+        version++;
+      }
     }
   }
 
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/WorkerStandinTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/WorkerStandinTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.JobId;
@@ -55,10 +56,26 @@
   void stopsTasksWhenItsLeaseRunsOutCountedFromSending() {
     command(TaskCommand.Action.RESERVE, 1, 0);
     command(TaskCommand.Action.START, 1, 0);
-    worker.acknowledged(new AnnouncementReply(5_000, null, null), 100);
+    worker.acknowledged(new AnnouncementReply(5_000, null, null), 100, 1);
     worker.advance(5_099);
     assertThat(events).containsExactly("start");
     worker.advance(5_100);
     assertThat(events).containsExactly("start", "stopped").inOrder();
   }
+
+  @Test
+  void renewsWithoutTasksOnlyWhatTheKeeperHasAcknowledged() {
+    long first = worker.announcement(0).version();
+    assertThat(worker.unchangedVersion(0)).isEqualTo(OptionalLong.empty());
+    worker.acknowledged(new AnnouncementReply(5_000, null, null), 0, first);
+    assertThat(worker.unchangedVersion(1)).isEqualTo(OptionalLong.of(first));
+    command(TaskCommand.Action.RESERVE, 1, 2);
+    assertThat(worker.unchangedVersion(3)).isEqualTo(OptionalLong.empty());
+    worker.acknowledged(new AnnouncementReply(5_000, null, null), 3, first);
+    assertThat(worker.unchangedVersion(4)).isEqualTo(OptionalLong.empty());
+    worker.acknowledged(
+        new AnnouncementReply(5_000, null, null), 4, worker.announcement(4).version());
+    worker.acknowledged(new AnnouncementReply(0, null, null), 5, 0);
+    assertThat(worker.unchangedVersion(6)).isEqualTo(OptionalLong.empty());
+  }
 }
--- a/primrosegauge-wire/src/main/java/org/primrosegauge/wire/target/WorkerAnnouncement.java
+++ b/primrosegauge-wire/src/main/java/org/primrosegauge/wire/target/WorkerAnnouncement.java
@@ -15,6 +15,8 @@
  * @param leaving whether the worker is being shut down and takes no new task
  * @param tasks every task that it holds
  * @param ended tasks that ended and whose end has not been acknowledged yet
+ * @param version differs from that of any other announcement of this worker with other content; a
+ *     {@link WorkerRenewal} names it
  * @since 0.1
  */
 public record WorkerAnnouncement(
@@ -24,4 +26,5 @@
     Resources capacity,
     boolean leaving,
     List<TaskReport> tasks,
-    List<TaskEnd> ended) {}
+    List<TaskEnd> ended,
+    long version) {}
