Idempotency keys claimed in the replicated log, by instance and request

Cause: the registry knew claims by instance only, so a second request of the same instance was taken for the first, a claim could not be settled or given back, and no instance used the log for its keys. ContentDigest existed twice.

Ruled out: a queue of expiries with stale entries, which would have dropped a key that was claimed anew at the time of its first claim, and grown with each key given back; expiries are an ordered set now. A repeated claim that is settled already is not granted again, so that a late copy cannot start work.

Change: PutClaim names the request; Claim holds request and outcome; SettleClaim (NOT_RUN gives the key back, UNKNOWN may be followed by a known outcome, RAN is final; only the holder's word counts). Claims are kept for limits.answer-retention. Tests that made claims name a request now; what they check is unchanged. RouterWorld's keys are real digests.

Before: keys refused by every instance.

Conclusion: at most once across instances holds while a quorum is there; without one, such requests are refused as not run.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/ConfigurationRegistry.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/ConfigurationRegistry.java
@@ -19,6 +19,7 @@
 import org.primrosegauge.core.registry.RegistryCommand.PutClaim;
 import org.primrosegauge.core.registry.RegistryCommand.PutJob;
 import org.primrosegauge.core.registry.RegistryCommand.RenewKeeper;
+import org.primrosegauge.core.registry.RegistryCommand.SettleClaim;
 import org.primrosegauge.core.registry.RegistryCommand.SwitchDomain;
 import org.primrosegauge.core.registry.RegistryResult.KeeperDecided;
 import org.primrosegauge.core.registry.cfg.RegistrySettings;
@@ -195,6 +196,8 @@
       return answerOnce(operatorCommand);
     } else if (command instanceof PutClaim put) {
       return claims.apply(put, logMillis);
+    } else if (command instanceof SettleClaim settle) {
+      return claims.apply(settle);
     } else if (command instanceof KeeperCommand keeperCommand) {
       return new KeeperDecided(decide(keeperCommand));
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/ContentDigest.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/ContentDigest.java
@@ -33,9 +33,17 @@
    * @since 0.1
    */
   public static ContentDigest of(String content) {
+    return of(content.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * Returns the digest of bytes.
+   *
+   * @since 0.1
+   */
+  public static ContentDigest of(byte[] content) {
     try {
-      MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-      byte[] digest = sha256.digest(content.getBytes(StandardCharsets.UTF_8));
+      byte[] digest = MessageDigest.getInstance("SHA-256").digest(content);
       return new ContentDigest(HexFormat.of().formatHex(digest));
     } catch (NoSuchAlgorithmException e) {
       throw new IllegalStateException("every Java platform has SHA-256", e);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistryCommand.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistryCommand.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.primrosegauge.core.Execution;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.JobId;
@@ -86,10 +87,16 @@
    * @param key digest of customer, service and idempotency key
    * @param request digest of the request's content
    * @param claimant instance that will dispatch it
+   * @param requestId request that claims the key; the same claim sent again is the same claimant
    * @param keepMillis how long the claim is kept, in log time
    * @since 0.1
    */
-  record PutClaim(ContentDigest key, ContentDigest request, InstanceId claimant, long keepMillis)
+  record PutClaim(
+      ContentDigest key,
+      ContentDigest request,
+      InstanceId claimant,
+      RequestId requestId,
+      long keepMillis)
       implements RegistryCommand {
 
     /** Checks that all parts are present. */
@@ -97,6 +104,31 @@
       Objects.requireNonNull(key);
       Objects.requireNonNull(request);
       Objects.requireNonNull(claimant);
+      Objects.requireNonNull(requestId);
+    }
+  }
+
+  /**
+   * Records what became of a claimed request. Only the holder's word counts. {@link
+   * Execution#NOT_RUN} gives the key back; an unknown outcome may be followed by a known one, never
+   * the other way round.
+   *
+   * @param key digest of customer, service and idempotency key
+   * @param claimant instance that dispatched it
+   * @param requestId request that holds the key
+   * @param execution what became of the work
+   * @since 0.1
+   */
+  record SettleClaim(
+      ContentDigest key, InstanceId claimant, RequestId requestId, Execution execution)
+      implements RegistryCommand {
+
+    /** Checks that all parts are present. */
+    public SettleClaim {
+      Objects.requireNonNull(key);
+      Objects.requireNonNull(claimant);
+      Objects.requireNonNull(requestId);
+      Objects.requireNonNull(execution);
     }
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistryResult.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/RegistryResult.java
@@ -52,11 +52,20 @@
    * The claim's outcome.
    *
    * @param claim claim that holds for the key
-   * @param isFirst whether it was made by this command
+   * @param isFirst whether it was made by this command, or by the same one sent before, and is not
+   *     settled
    * @since 0.1
    */
   record ClaimHeld(Claim claim, boolean isFirst) implements RegistryResult {}
 
+  /**
+   * The outcome of settling a claim.
+   *
+   * @param isRecorded whether the command changed the claim
+   * @since 0.1
+   */
+  record ClaimSettled(boolean isRecorded) implements RegistryResult {}
+
   /**
    * The outcome of a command about a keeper's office.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/impl/ClaimStore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/registry/impl/ClaimStore.java
@@ -4,18 +4,23 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
+import java.util.NavigableSet;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.primrosegauge.core.Execution;
 import org.primrosegauge.core.registry.Claim;
 import org.primrosegauge.core.registry.ContentDigest;
 import org.primrosegauge.core.registry.RegistryCommand.PutClaim;
+import org.primrosegauge.core.registry.RegistryCommand.SettleClaim;
 import org.primrosegauge.core.registry.RegistryResult;
 import org.primrosegauge.core.registry.RegistryResult.ClaimHeld;
+import org.primrosegauge.core.registry.RegistryResult.ClaimSettled;
 import org.primrosegauge.core.registry.RegistryResult.LimitReached;
 import org.primrosegauge.core.registry.RegistrySnapshot;
 import org.primrosegauge.core.registry.cfg.RegistrySettings;
 
 /**
- * Claims of service requests. The first claim of a key holds until it expires.
+ * Claims of service requests. The first claim of a key holds until it is given back or expires.
  *
  * <p>Single-threaded; lives as long as its registry.
  *
@@ -25,8 +30,10 @@
 
   private final RegistrySettings settings;
   private final Map<ContentDigest, Claim> claims = new HashMap<>();
-  private final PriorityQueue<Claim> byExpiry =
-      new PriorityQueue<>(Comparator.comparingLong(Claim::expiryLogMillis));
+  private final NavigableSet<Claim> byExpiry =
+      new TreeSet<>(
+          Comparator.comparingLong(Claim::expiryLogMillis)
+              .thenComparing(claim -> claim.key().value()));
 
   /** Creates the store that a snapshot holds. */
   public ClaimStore(RegistrySettings settings, RegistrySnapshot snapshot) {
@@ -46,26 +53,50 @@
     return claims.get(key);
   }
 
-  /** Puts the claim unless the key has one. */
+  /** Puts the claim unless the key has one. The same claim sent again is the first one. */
   public RegistryResult apply(PutClaim command, long logMillis) {
     Claim present = claims.get(command.key());
     if (present != null) {
-      return new ClaimHeld(present, false);
+      boolean isSame = present.isHeldBy(command.claimant(), command.requestId());
+      return new ClaimHeld(present, isSame && present.execution().isEmpty());
     }
     if (claims.size() >= settings.maxClaims()) {
       return new LimitReached("max-claims");
     }
     Claim claim =
         new Claim(
-            command.key(), command.request(), command.claimant(), logMillis + command.keepMillis());
+            command.key(),
+            command.request(),
+            command.claimant(),
+            command.requestId(),
+            Optional.empty(),
+            logMillis + command.keepMillis());
     put(claim);
     return new ClaimHeld(claim, true);
   }
 
+  /** Records the holder's word on its work, if it is news. */
+  public RegistryResult apply(SettleClaim command) {
+    Claim present = claims.get(command.key());
+    boolean isHolder = present != null && present.isHeldBy(command.claimant(), command.requestId());
+    if (!isHolder || !mayFollow(present.execution(), command.execution())) {
+      return new ClaimSettled(false);
+    }
+    remove(present);
+    if (command.execution() != Execution.NOT_RUN) {
+      put(present.withExecution(command.execution()));
+    }
+    return new ClaimSettled(true);
+  }
+
+  private static boolean mayFollow(Optional<Execution> known, Execution next) {
+    return known.isEmpty() || known.get() == Execution.UNKNOWN && next != Execution.UNKNOWN;
+  }
+
   /** Drops the claims that expired. */
   public void expire(long logMillis) {
-    while (!byExpiry.isEmpty() && byExpiry.peek().expiryLogMillis() <= logMillis) {
-      claims.remove(byExpiry.remove().key());
+    while (!byExpiry.isEmpty() && byExpiry.first().expiryLogMillis() <= logMillis) {
+      remove(byExpiry.first());
     }
   }
 
@@ -73,4 +104,9 @@
     claims.put(claim.key(), claim);
     byExpiry.add(claim);
   }
+
+  private void remove(Claim claim) {
+    claims.remove(claim.key());
+    byExpiry.remove(claim);
+  }
 }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/registry/ConfigurationRegistryTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/registry/ConfigurationRegistryTest.java
@@ -3,9 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.primrosegauge.core.Execution;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.JobId;
@@ -20,8 +22,10 @@
 import org.primrosegauge.core.registry.RegistryCommand.PutClaim;
 import org.primrosegauge.core.registry.RegistryCommand.PutJob;
 import org.primrosegauge.core.registry.RegistryCommand.RenewKeeper;
+import org.primrosegauge.core.registry.RegistryCommand.SettleClaim;
 import org.primrosegauge.core.registry.RegistryCommand.SwitchDomain;
 import org.primrosegauge.core.registry.RegistryResult.ClaimHeld;
+import org.primrosegauge.core.registry.RegistryResult.ClaimSettled;
 import org.primrosegauge.core.registry.RegistryResult.ConfigurationAccepted;
 import org.primrosegauge.core.registry.RegistryResult.JobRecorded;
 import org.primrosegauge.core.registry.RegistryResult.KeeperDecided;
@@ -116,8 +120,8 @@
   @Test
   void firstClaimHoldsUntilItExpires() {
     ContentDigest key = ContentDigest.of("key");
-    PutClaim first = new PutClaim(key, ContentDigest.of("body"), FIRST, 100);
-    PutClaim second = new PutClaim(key, ContentDigest.of("body"), SECOND, 100);
+    PutClaim first = claimOf(key, FIRST, "r1");
+    PutClaim second = claimOf(key, SECOND, "r2");
     assertThat(registry.apply(first, 10)).isInstanceOf(ClaimHeld.class);
     restart();
     ClaimHeld held = (ClaimHeld) registry.apply(second, 109);
@@ -126,14 +130,76 @@
     assertThat(((ClaimHeld) registry.apply(second, 110)).isFirst()).isTrue();
   }
 
+  private static PutClaim claimOf(ContentDigest key, InstanceId claimant, String request) {
+    return new PutClaim(key, ContentDigest.of("body"), claimant, new RequestId(request), 100);
+  }
+
+  @Test
+  void claimSentAgainIsTheSameClaimantAndOtherRequestsAreNot() {
+    ContentDigest key = ContentDigest.of("key");
+    registry.apply(claimOf(key, FIRST, "r1"), 1);
+    restart();
+    assertThat(isFirst(claimOf(key, FIRST, "r1"))).isTrue();
+    assertThat(isFirst(claimOf(key, FIRST, "r2"))).isFalse();
+    assertThat(isFirst(claimOf(key, SECOND, "r1"))).isFalse();
+    settle(key, FIRST, "r1", Execution.RAN);
+    assertThat(isFirst(claimOf(key, FIRST, "r1"))).isFalse();
+  }
+
+  private boolean isFirst(PutClaim claim) {
+    return ((ClaimHeld) registry.apply(claim, 2)).isFirst();
+  }
+
+  private boolean settle(ContentDigest key, InstanceId by, String request, Execution execution) {
+    SettleClaim command = new SettleClaim(key, by, new RequestId(request), execution);
+    return ((ClaimSettled) registry.apply(command, 2)).isRecorded();
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "UNKNOWN, RAN, true, RAN",
+    "UNKNOWN, NOT_RUN, true,",
+    "UNKNOWN, UNKNOWN, false, UNKNOWN",
+    "RAN, UNKNOWN, false, RAN",
+    "RAN, NOT_RUN, false, RAN",
+    "NOT_RUN, RAN, false,",
+    "NOT_RUN, UNKNOWN, false,",
+  })
+  void knownOutcomeStays(
+      Execution before, Execution after, boolean isRecorded, Execution expected) {
+    ContentDigest key = ContentDigest.of("key");
+    registry.apply(claimOf(key, FIRST, "r1"), 1);
+    assertThat(settle(key, SECOND, "r1", before)).isFalse();
+    assertThat(settle(key, FIRST, "r2", before)).isFalse();
+    assertThat(settle(key, FIRST, "r1", before)).isTrue();
+    restart();
+    assertThat(settle(key, FIRST, "r1", after)).isEqualTo(isRecorded);
+    restart();
+    Optional<Execution> known = registry.claim(key).flatMap(Claim::execution);
+    assertThat(known).isEqualTo(Optional.ofNullable(expected));
+    assertThat(registry.claim(key).isPresent()).isEqualTo(expected != null);
+  }
+
+  @Test
+  void keyGivenBackIsClaimedAnewAndKeptForItsWholeTime() {
+    ContentDigest key = ContentDigest.of("key");
+    registry.apply(claimOf(key, FIRST, "r1"), 0);
+    settle(key, FIRST, "r1", Execution.NOT_RUN);
+    registry.apply(claimOf(key, SECOND, "r2"), 50);
+    registry.apply(claimOf(ContentDigest.of("other"), FIRST, "r3"), 149);
+    assertThat(registry.claim(key).map(Claim::claimant)).isEqualTo(Optional.of(SECOND));
+    registry.apply(claimOf(ContentDigest.of("other"), FIRST, "r3"), 150);
+    assertThat(registry.claim(key)).isEqualTo(Optional.empty());
+  }
+
   @Test
   void claimsAreBounded() {
     for (int i = 0; i < 2; i++) {
       ContentDigest key = ContentDigest.of("key" + i);
-      registry.apply(new PutClaim(key, key, FIRST, 100), 1);
+      registry.apply(claimOf(key, FIRST, "r" + i), 1);
     }
     ContentDigest third = ContentDigest.of("third");
-    assertThat(registry.apply(new PutClaim(third, third, FIRST, 100), 2))
+    assertThat(registry.apply(claimOf(third, FIRST, "r3"), 2))
         .isEqualTo(new LimitReached("max-claims"));
   }
 
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/request/RouterWorld.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/request/RouterWorld.java
@@ -18,6 +18,7 @@
 import org.primrosegauge.core.RequestId;
 import org.primrosegauge.core.ServiceId;
 import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.registry.ContentDigest;
 import org.primrosegauge.core.request.cfg.RouterSettings;
 import org.primrosegauge.core.site.Customer;
 import org.primrosegauge.core.site.Service;
@@ -162,7 +163,7 @@
   RequestId receive(
       CustomerId customer, boolean repeatable, boolean keyed, boolean forwarded, long deadline) {
     RequestId id = new RequestId("r" + serial++);
-    ContentDigest key = new ContentDigest("k-" + id);
+    ContentDigest key = ContentDigest.of("k-" + id);
     Optional<IdempotencyClaim> claim =
         keyed ? Optional.of(new IdempotencyClaim(key, key)) : Optional.empty();
     RequestDescription description =
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
@@ -36,6 +36,7 @@
 import org.primrosegauge.node.metrics.NodeMetrics;
 import org.primrosegauge.node.operator.DomainOrders;
 import org.primrosegauge.node.operator.OperatorApi;
+import org.primrosegauge.node.request.RegistryClaimStore;
 import org.primrosegauge.node.request.RequestPath;
 import org.primrosegauge.node.request.RoutingDuty;
 import org.primrosegauge.node.request.RoutingSettings;
@@ -137,7 +138,8 @@
             RoutingSettings.DEFAULTS,
             clock,
             metrics,
-            new NoClaimStore(),
+            new RegistryClaimStore(
+                self, registry::propose, settings.limits().answerRetentionMillis()),
             transport,
             members::others);
     this.housekeeping =
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/request/CallerRoutes.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/request/CallerRoutes.java
@@ -1,10 +1,6 @@
 package org.primrosegauge.node.request;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.primrosegauge.core.CustomerId;
@@ -14,7 +10,7 @@
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.RequestId;
 import org.primrosegauge.core.ServiceId;
-import org.primrosegauge.core.request.ContentDigest;
+import org.primrosegauge.core.registry.ContentDigest;
 import org.primrosegauge.core.request.IdempotencyClaim;
 import org.primrosegauge.core.request.RequestDescription;
 import org.primrosegauge.core.site.Service;
@@ -162,17 +158,7 @@
       return Optional.empty();
     }
     String scope = headers.customer() + "\n" + service + "\n" + headers.key();
-    ContentDigest key = digest(scope.getBytes(StandardCharsets.UTF_8));
-    return Optional.of(new IdempotencyClaim(key, digest(body)));
-  }
-
-  private static ContentDigest digest(byte[] content) {
-    try {
-      byte[] digest = MessageDigest.getInstance("SHA-256").digest(content);
-      return new ContentDigest(HexFormat.of().formatHex(digest));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every Java platform has SHA-256", e);
-    }
+    return Optional.of(new IdempotencyClaim(ContentDigest.of(scope), ContentDigest.of(body)));
   }
 
   private static Mono<Void> answer(HttpExchange exchange, RequestResult result) {
