--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/request/RoutingDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/request/RoutingDuty.java
@@ -144,7 +144,7 @@
   public Mono<Boolean> drain(Duration most) {
     insist(router::drain);
     return Mono.delay(IDLE_CHECK)
-        .then(duty.ask(router::isIdle))
+        .then(duty.ask(router::isIdle).onErrorReturn(false))
         .repeat()
         .filter(idle -> idle)
         .next()
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/ExecutorStandin.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/ExecutorStandin.java
@@ -24,6 +24,7 @@
   private final String address;
   private final AtomicInteger inProgress = new AtomicInteger();
   private final AtomicInteger mostInProgress = new AtomicInteger();
+  private final AtomicInteger begun = new AtomicInteger();
   private volatile boolean leaving;
   private volatile boolean failing;
 
@@ -70,6 +71,7 @@
       inProgress.decrementAndGet();
       return false;
     }
+    begun.incrementAndGet();
     return true;
   }
 
@@ -118,6 +120,15 @@
     return mostInProgress.get();
   }
 
+  /**
+   * Returns how many requests began.
+   *
+   * @since 0.1
+   */
+  public int begun() {
+    return begun.get();
+  }
+
   /**
    * Returns what the executor announces now.
    *
