--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
@@ -128,6 +128,8 @@
    * @since 0.1
    */
   public void start(String host, int port) {
+    metrics.gauge("primrosegauge.transport.sent.bytes", this::bytesSent);
+    metrics.gauge("primrosegauge.transport.received.bytes", this::bytesReceived);
     TcpServer tcp =
         TcpServer.create()
             .host(host)
