--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/LoopbackSite.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/LoopbackSite.java
@@ -92,7 +92,7 @@
       ports.add(freePort());
     }
     for (int i = 0; i < DOMAINS.size(); i++) {
-      InstanceDaemon daemon = new InstanceDaemon(settings(i), new MemoryStorage());
+      InstanceDaemon daemon = new InstanceDaemon(settings(i), new MemoryStorage(), failure -> {});
       daemon.start();
       daemons.add(daemon);
       running.add(daemon);
