--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/Duty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/Duty.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import org.jctools.queues.MpscArrayQueue;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.PrimrosegaugeException;
@@ -25,6 +26,7 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(Duty.class);
   private static final int MAX_TASKS_BETWEEN_TICKS = 256;
+  private static final long SHORTEST_TICK_MILLIS = 5;
   private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
   private final String name;
@@ -32,6 +34,7 @@
   private final long tickMillis;
   private final MonotonicClock clock;
   private final LongConsumer tick;
+  private final LongSupplier wakeAt;
   private final Thread thread;
   private volatile boolean closed;
   private volatile boolean parked;
@@ -47,11 +50,29 @@
    * @since 0.1
    */
   public Duty(String name, int capacity, long tickMillis, MonotonicClock clock, LongConsumer tick) {
+    this(name, capacity, tickMillis, clock, tick, () -> Long.MAX_VALUE);
+  }
+
+  /**
+   * Creates a duty that ticks earlier than its interval when something is due.
+   *
+   * @param wakeAt returns when something is due next, in the clock's milliseconds; asked on the
+   *     duty's thread
+   * @since 0.1
+   */
+  public Duty(
+      String name,
+      int capacity,
+      long tickMillis,
+      MonotonicClock clock,
+      LongConsumer tick,
+      LongSupplier wakeAt) {
     this.name = name;
     this.ring = new MpscArrayQueue<>(capacity);
     this.tickMillis = tickMillis;
     this.clock = clock;
     this.tick = tick;
+    this.wakeAt = wakeAt;
     this.thread = new Thread(this::run, name);
     this.thread.setDaemon(true);
   }
@@ -142,14 +163,18 @@
 
   private void run() {
     long nextTick = clock.nowMillis();
+    long earliestTick = nextTick;
     while (!closed) {
       int ran = drain();
       long now = clock.nowMillis();
-      if (now >= nextTick) {
+      // The pause bounds the rate of ticks of a duty that always has something due.
+      long due = Math.max(earliestTick, Math.min(nextTick, wakeAt.getAsLong()));
+      if (now >= due) {
         guarded(() -> tick.accept(now));
         nextTick = now + tickMillis;
+        earliestTick = now + SHORTEST_TICK_MILLIS;
       } else if (ran == 0) {
-        parkFor(nextTick - now);
+        parkFor(due - now);
       }
     }
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
@@ -49,7 +49,8 @@
 public final class LogDuty implements AutoCloseable {
 
   private static final Logger LOG = LoggerFactory.getLogger(LogDuty.class);
-  private static final long TICK_MILLIS = 25;
+  private static final long TICK_MILLIS = 50;
+  private static final long JOURNAL_TICK_MILLIS = 250;
   private static final long SNAPSHOT_INTERVAL_ENTRIES = 2_000;
 
   private record Pending(Term term, MonoSink<RegistryResult> sink) {}
@@ -102,7 +103,8 @@
     this.onView = onView;
     this.onStorageFailure = onStorageFailure;
     this.duty = new Duty("log", ringCapacity, TICK_MILLIS, clock, this::tick);
-    this.journal = new Duty("journal", ringCapacity, TICK_MILLIS, clock, now -> syncBatch());
+    this.journal =
+        new Duty("journal", ringCapacity, JOURNAL_TICK_MILLIS, clock, now -> syncBatch());
     this.registry = new ConfigurationRegistry(RegistrySettings.DEFAULT, keeperSettings);
     RecoveredLog recovered = storage.recover();
     restoreFrom(recovered);
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/request/RoutingDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/request/RoutingDuty.java
@@ -58,7 +58,7 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(RoutingDuty.class);
   private static final int RING_CAPACITY = 8_192;
-  private static final long TICK_MILLIS = 5;
+  private static final long TICK_MILLIS = 100;
   private static final Duration RING_RETRY = Duration.ofMillis(1);
   private static final Duration IDLE_CHECK = Duration.ofMillis(10);
   private static final String WHERE = "requests";
@@ -118,7 +118,8 @@
     this.peers = peers;
     router = new RequestRouter(home, settings.router(), new Random(self.hashCode()));
     forwarder = new PeerForwarder(transport, metrics);
-    duty = new Duty("routing", RING_CAPACITY, TICK_MILLIS, clock, this::tick);
+    duty =
+        new Duty("routing", RING_CAPACITY, TICK_MILLIS, clock, this::tick, router::nextWakeMillis);
   }
 
   // Life-cycle
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/LoopbackSite.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/LoopbackSite.java
@@ -26,6 +26,7 @@
 import org.primrosegauge.node.cfg.NodeSettings;
 import org.primrosegauge.node.cfg.PeerSettings;
 import org.primrosegauge.node.cfg.TimeoutSettings;
+import org.primrosegauge.node.cfg.TlsSettings;
 import org.primrosegauge.node.log.MemoryStorage;
 import org.primrosegauge.standin.ExecutorStandin;
 import org.primrosegauge.standin.TargetHost;
@@ -200,6 +201,7 @@
             .header("Primrosegauge-Request-Id", "configure")
             .header("Primrosegauge-Expected-Revision", "0")
             .PUT(HttpRequest.BodyPublishers.ofString(body))
+            .tls(TlsSettings.OFF)
             .build();
     return http.send(request, HttpResponse.BodyHandlers.ofString());
   }
@@ -219,6 +221,7 @@
             endpoint(ports.get(2 * instance + 1)))
         .peers(peers)
         .timeouts(TIMEOUTS)
+        .tls(TlsSettings.OFF)
         .build();
   }
 
