A new keeper completes the starts of a gang that the last one began

Cause: a keeper that was killed or stopped between two starts of a gang left the started tasks running alone. The next keeper found the gang in part and stopped it only after its rebuild of 5 s, which shorter tasks outlived; the reservations of the other tasks (5 s) were over by then, their reports were not read, and the start of a repeatable gang was not on record.

Ruled out: a second message that lets started tasks begin (the same gap, one message later); workers that end tasks not confirmed in time (every worker would keep time for gangs).

Change: two-phase commit with a replicated decision (Gray 1978, Skeen 1981). - JobLedger.mayStart: any gang waits until the log or every configured peer holds the record of its start. Starts that were held are sent on the acknowledgement, and all starts of a gang are dropped at one time. - Reservations last 30 s and are part of WorkerDescription. The rebuild sends the missing starts if the record says STARTING, at least one task runs or is done and all others are still reserved; otherwise the gang is stopped as before. Reservations that belong to no gang are released, also by later announcements. Ends reported before their job's record count. - A task that a worker stops listing during the rebuild counts as missing; before, the gang was stopped at once with its list half filled. - KeeperDuty.close begins nothing new and waits at most 3 s until no gang is between its first start and the answer to its last. - The state machine gets an event that changes the keeper amid the starts. A change of keeper no longer clears the reservations each time, as they outlive it now; one in four still does.

Conclusion: in virtual time no gang stays in part when its keeper is lost after k of n starts, for every k. The drain of KeeperDuty has no test of its own, the scheduler's part has. Until the rebuild ends the started tasks run while the others wait reserved.

--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/placement/LoadedDomain.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/placement/LoadedDomain.java
@@ -71,7 +71,8 @@
     for (int i = 0; i < workers; i++) {
       RackId rack = new RackId(String.format("r%03d", i / PER_RACK));
       TargetId target = new TargetId(String.format("w%04d", i));
-      scheduler.workerAnnounced(new WorkerDescription(target, rack, CAPACITY, List.of()), 0);
+      scheduler.workerAnnounced(
+          new WorkerDescription(target, rack, CAPACITY, List.of(), List.of()), 0);
     }
     scheduler.configurationChanged(configuration(id, workers), 0);
     now = SchedulerSettings.DEFAULTS.rebuildMillis();
--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/policy/SiteShape.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/policy/SiteShape.java
@@ -79,6 +79,7 @@
               new TargetId(String.format("w%04d", i)),
               new RackId(String.format("r%03d", i / perRack)),
               capacity,
+              List.of(),
               List.of()));
     }
     return described;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/job/JobLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/job/JobLedger.java
@@ -91,9 +91,11 @@
   }
 
   /**
-   * Tells whether the attempt named by {@link #recordStart} may be started. A job that may be
-   * repeated always may. Any other waits until the log or every configured peer holds the record of
-   * its start: whoever becomes keeper next then knows that it may have run.
+   * Tells whether the attempt named by {@link #recordStart} may be started. A single task that may
+   * be repeated always may. Anything else waits until the log or every configured peer holds the
+   * record of its start: whoever becomes keeper next then knows that it may have run, and completes
+   * the starts of a gang (the commit record of two-phase commit; Gray, Notes on Data Base Operating
+   * Systems, 1978).
    *
    * @since 0.1
    */
@@ -102,7 +104,8 @@
     if (entry == null || !isOpenHere(entry) || entry.record().startedAttempt() != attempt) {
       return false;
     }
-    return entry.record().spec().repeatable() || isHeld(entry);
+    JobSpec spec = entry.record().spec();
+    return spec.repeatable() && spec.tasks() == 1 || isHeld(entry);
   }
 
   // Writes of the keeper
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/DomainScheduler.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/DomainScheduler.java
@@ -190,6 +190,28 @@
     return core.dispatch(nowMillis);
   }
 
+  // Shutdown
+
+  /**
+   * Begins nothing new from now on: gangs that were not started are freed as their workers answer,
+   * gangs that are being started go on. Cannot be taken back.
+   *
+   * @since 0.1
+   */
+  public List<SchedulerAction> drain(long nowMillis) {
+    core.drain();
+    return core.dispatch(nowMillis);
+  }
+
+  /**
+   * Tells whether a gang is between its first start and the answer to its last.
+   *
+   * @since 0.1
+   */
+  public boolean isStarting() {
+    return core.isStarting();
+  }
+
   // Time and queries
 
   /**
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/JobReason.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/JobReason.java
@@ -34,7 +34,7 @@
   RESERVED("reserved"),
   /** Every task of the gang runs. */
   STARTED("started"),
-  /** A new keeper found every task of the gang running. */
+  /** A new keeper found every task of the gang running, or completed its starts. */
   ADOPTED("adopted"),
   /** Every task ran to its end. */
   COMPLETED("completed"),
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/SchedulerSettings.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/cfg/SchedulerSettings.java
@@ -3,7 +3,8 @@
 /**
  * Times and limits of a domain's scheduler. Immutable.
  *
- * @param reserveLeaseMillis time for which a worker holds a reservation, in milliseconds
+ * @param reserveLeaseMillis time for which a worker holds a reservation, in milliseconds; longer
+ *     than the lease of a lost keeper, the rebuild of its successor and a start together
  * @param reserveTimeoutMillis time within which every worker answers a reservation, in milliseconds
  * @param startTimeoutMillis time within which every worker answers a start, in milliseconds
  * @param checkpointMillis time given to a checkpoint before the task is stopped, in milliseconds
@@ -41,10 +42,14 @@
     int suspectJobs,
     int maxPlacementTries) {
 
-  /** Settings used unless the operator states others. */
+  /**
+   * Settings used unless the operator states others. A reservation outlives a change of keeper:
+   * lease of the lost keeper 3 s, election and acquisition 2 s, rebuild 5 s, start 1.5 s make 11.5
+   * s; the rest is margin for elections that are repeated and longer leases.
+   */
   public static final SchedulerSettings DEFAULTS =
       new SchedulerSettings(
-          5_000, 1_000, 1_500, 3_000, 1_000, 5_000, 1_000, 60_000, 1_800_000, 300_000, 120, 3, 20,
+          30_000, 1_000, 1_500, 3_000, 1_000, 5_000, 1_000, 60_000, 1_800_000, 300_000, 120, 3, 20,
           50, 3, 8);
 
   /** Checks the relations between the times. */
@@ -52,6 +57,10 @@
     if (reserveTimeoutMillis >= reserveLeaseMillis) {
       throw new IllegalArgumentException("reservation times out after its lease");
     }
+    if (rebuildMillis + startTimeoutMillis >= reserveLeaseMillis) {
+      throw new IllegalArgumentException(
+          "reservation ends before a new keeper can complete a start");
+    }
     if (maxPlacementTries < 1 || suspectJobs < 1) {
       throw new IllegalArgumentException("limits below 1");
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/DomainState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/DomainState.java
@@ -74,6 +74,10 @@
   long leaseUntilMillis = Long.MIN_VALUE;
   long rebuildUntilMillis = Long.MIN_VALUE;
   boolean rebuilding;
+
+  /** Whether the keeper is about to close and starts nothing more. */
+  boolean draining;
+
   boolean capacityChanged;
   boolean fleetChanged;
   boolean vacated;
@@ -118,7 +122,7 @@
 
   /** Tells whether anything may start now; asked right before each start. */
   boolean mayStart(long nowMillis) {
-    return holdsLease(nowMillis) && !rebuilding && !domainSwitch.out();
+    return holdsLease(nowMillis) && !rebuilding && !draining && !domainSwitch.out();
   }
 
   /** Enters a phase and tells the owner of the job. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Gang.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/Gang.java
@@ -42,6 +42,10 @@
   long attainedMillis;
   GangTask[] tasks = {};
   boolean unconfirmed;
+
+  /** The attempt whose start is on record and was neither confirmed nor taken back; 0 for none. */
+  int startingAttempt;
+
   boolean cancelled;
   JobReason stopReason;
   final List<ClaimUse> claims = new ArrayList<>();
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangLifecycle.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangLifecycle.java
@@ -83,14 +83,25 @@
       abandon(gang, startObstacle(nowMillis), nowMillis);
       return;
     }
+    sendStarts(gang, JobReason.RESERVED, nowMillis);
+  }
+
+  /** Sends the starts that the lost keeper of a gang on record did not send. */
+  void completeStart(Gang gang, long nowMillis) {
+    state.inTransition.add(gang);
+    sendStarts(gang, JobReason.ADOPTED, nowMillis);
+  }
+
+  private void sendStarts(Gang gang, JobReason why, long nowMillis) {
     gang.phaseUntilMillis = nowMillis + state.settings.startTimeoutMillis();
     gang.startedMillis = nowMillis;
-    // The owner learns of the start before any worker does, so that a job that may not be repeated
-    // is never started unrecorded.
-    state.enter(gang, JobPhase.STARTING, JobReason.RESERVED, nowMillis);
+    // The owner learns of the start before any worker does, so that no gang is started unrecorded.
+    state.enter(gang, JobPhase.STARTING, why, nowMillis);
     for (GangTask task : gang.tasks) {
-      task.state = GangTask.State.STARTING;
-      state.emit(new SchedulerAction.Start(task.worker.id, task.id, gang.spec, state.term));
+      if (task.state == GangTask.State.RESERVED) {
+        task.state = GangTask.State.STARTING;
+        state.emit(new SchedulerAction.Start(task.worker.id, task.id, gang.spec, state.term));
+      }
     }
   }
 
@@ -98,7 +109,8 @@
     if (state.domainSwitch.out()) {
       return JobReason.DOMAIN_OUT;
     }
-    return state.holdsLease(nowMillis) ? JobReason.RESERVE_TIMEOUT : JobReason.LEASE_LOST;
+    boolean inOffice = state.holdsLease(nowMillis) && !state.draining;
+    return inOffice ? JobReason.RESERVE_TIMEOUT : JobReason.LEASE_LOST;
   }
 
   void started(Gang gang, GangTask task, long nowMillis) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangTask.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/GangTask.java
@@ -44,6 +44,11 @@
     return state == State.STARTING || state == State.RUNNING || state == State.STOPPING;
   }
 
+  /** Tells whether the task was started and was not ended other than by itself. */
+  boolean isRunningOrDone() {
+    return state == State.RUNNING || outcome == TaskOutcome.DONE;
+  }
+
   boolean isBeforeStart() {
     return state.ordinal() < State.STARTING.ordinal();
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/SchedulerCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/SchedulerCore.java
@@ -80,7 +80,9 @@
 
   /** Takes over a job from the records of an earlier keeper. */
   public void restore(JobSpec job, int attempt, JobPhase phase, long nowMillis) {
-    if (state.gangs.containsKey(job.id())) {
+    Gang known = state.gangs.get(job.id());
+    if (known != null) {
+      rebuild.recorded(known, attempt, phase);
       return;
     }
     Gang gang = new Gang(job, state.nextSequence(), nowMillis);
@@ -90,6 +92,7 @@
       gang.phase = phase;
     } else if (phase.ordinal() >= JobPhase.STARTING.ordinal() && state.rebuilding) {
       gang.unconfirmed = true;
+      rebuild.recorded(gang, attempt, phase);
     } else {
       state.enqueue(gang, nowMillis);
     }
@@ -228,6 +231,16 @@
     state.capacityChanged = true;
   }
 
+  /** Starts nothing more from now on. */
+  public void drain() {
+    state.draining = true;
+  }
+
+  /** Tells whether starts of a gang are under way. */
+  public boolean isStarting() {
+    return state.inTransition.stream().anyMatch(gang -> gang.phase == JobPhase.STARTING);
+  }
+
   /** Acts on everything whose time has come. */
   public void tick(long nowMillis) {
     rebuild.finishWhenDue(nowMillis);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/WorkerEvents.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/schedule/impl/WorkerEvents.java
@@ -47,6 +47,7 @@
     known.leaving = false;
     state.fleetChanged = true;
     reconcile(known, description.running(), nowMillis);
+    reserved(known, description.reserved());
     state.capacityChanged = true;
   }
 
@@ -68,6 +69,19 @@
     }
   }
 
+  /** Frees reservations that no gang waits for; during a rebuild they are only noted. */
+  private void reserved(Worker worker, List<TaskId> reserved) {
+    if (state.rebuilding) {
+      rebuild.reserved(worker, reserved);
+      return;
+    }
+    for (TaskId id : reserved) {
+      if (Orphans.isOrphan(state, id)) {
+        state.emit(new SchedulerAction.Release(worker.id, id, state.term));
+      }
+    }
+  }
+
   private void listed(Worker worker, RunningTask running, long nowMillis) {
     TaskId id = running.task();
     Gang gang = state.gangs.get(id.job());
@@ -87,6 +101,10 @@
     if (task == null || task.state == GangTask.State.ENDED) {
       worker.release(id);
       Orphans.recount(state);
+    } else if (state.rebuilding) {
+      // It counts as lost at the end of the rebuild, unless its end is reported until then.
+      worker.release(id);
+      forgetReport(gang, id);
     } else if (task.state == GangTask.State.RUNNING || task.state == GangTask.State.STOPPING) {
       lifecycle.lost(gang, task, JobReason.TASK_LOST, nowMillis);
     }
@@ -137,8 +155,8 @@
 
   void taskEnded(TaskId id, TaskOutcome outcome, long nowMillis) {
     Gang gang = state.gangs.get(id.job());
-    if (state.rebuilding && gang != null && id.index() < gang.spec.tasks()) {
-      rebuild.ended(gang, id, outcome);
+    if (state.rebuilding) {
+      rebuild.ended(id, outcome);
       return;
     }
     GangTask task = gang == null ? null : gang.task(id);
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/job/JobLedgerTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/job/JobLedgerTest.java
@@ -57,6 +57,29 @@
     assertThrows(ConflictException.class, () -> ledger.recordStart(PLAN, 2, FIRST, 0));
   }
 
+  @Test
+  void gangThatMayBeRepeatedWaitsForAllPeersOrTheLog() throws Exception {
+    ledger.accept(LedgerRecordTest.spec("plan", true, "run"), FIRST, 0);
+    ledger.recordStart(PLAN, 1, FIRST, 0);
+    LedgerRecord started = ledger.find(PLAN).orElseThrow();
+    assertThat(ledger.mayStart(PLAN, 1)).isFalse();
+    ledger.peerAcknowledged(B, started);
+    assertThat(ledger.mayStart(PLAN, 1)).isFalse();
+    ledger.peerAcknowledged(C, started);
+    assertThat(ledger.mayStart(PLAN, 1)).isTrue();
+    ledger.recordStart(PLAN, 2, FIRST, 0);
+    assertThat(ledger.mayStart(PLAN, 2)).isFalse();
+    ledger.logRecorded(ledger.find(PLAN).orElseThrow(), 0);
+    assertThat(ledger.mayStart(PLAN, 2)).isTrue();
+  }
+
+  @Test
+  void singleTaskThatMayBeRepeatedStartsAtOnce() throws Exception {
+    ledger.accept(LedgerRecordTest.spec("plan", 1, true, "run"), FIRST, 0);
+    ledger.recordStart(PLAN, 1, FIRST, 0);
+    assertThat(ledger.mayStart(PLAN, 1)).isTrue();
+  }
+
   @Test
   void logAloneAllowsTheStart() throws Exception {
     ledger.accept(LedgerRecordTest.spec("plan", false, "run"), FIRST, 0);
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/job/LedgerRecordTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/job/LedgerRecordTest.java
@@ -57,10 +57,14 @@
   }
 
   static JobSpec spec(String id, boolean repeatable, String command) {
+    return spec(id, 2, repeatable, command);
+  }
+
+  static JobSpec spec(String id, int tasks, boolean repeatable, String command) {
     return new JobSpec(
         new JobId(id),
         new CustomerId("depot"),
-        2,
+        tasks,
         new Resources(1000, 10, 1),
         Adjacency.values()[0],
         false,
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/schedule/GangStartTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/schedule/GangStartTest.java
@@ -3,11 +3,13 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.TaskId;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.job.JobPhase;
 import org.primrosegauge.core.job.JobSpec;
@@ -156,6 +158,131 @@
     assertThat(next.reasons.get(spread.id())).isEqualTo(reason);
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 4})
+  void newKeeperSendsTheMissingStarts(int sent) {
+    SiteModel next = keeperLostAfter(sent, gang, JobPhase.STARTING);
+    announceAll(next, 4);
+    next.advance(5_000);
+    next.answerAll();
+    assertThat(next.running).hasSize(4);
+    assertThat(next.phase(gang)).isEqualTo(JobPhase.RUNNING);
+    assertThat(next.startedAttempts.getOrDefault(gang.id(), Set.of()))
+        .isEqualTo(sent == 4 ? Set.of() : Set.of(1));
+    next.finish(gang);
+    assertThat(next.phase(gang)).isEqualTo(JobPhase.SUCCEEDED);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3})
+  void tasksThatEndedBeforeTheRebuildCount(int sent) {
+    SiteModel next = keeperLostAfter(sent, unrepeatable(), JobPhase.STARTING);
+    for (TaskId task : List.copyOf(next.running.keySet())) {
+      next.end(task, TaskOutcome.DONE);
+    }
+    announceAll(next, 4);
+    next.advance(5_000);
+    next.answerAll();
+    assertThat(next.running).hasSize(4 - sent);
+    next.finish(gang);
+    assertThat(next.phase(gang)).isEqualTo(JobPhase.SUCCEEDED);
+  }
+
+  @Test
+  void endsOfJobsNotYetOnRecordCount() {
+    SiteModel next = keeperLostAfter(2, gang, null);
+    next.end(next.running.keySet().iterator().next(), TaskOutcome.DONE);
+    announceAll(next, 4);
+    next.apply(next.scheduler.jobRestored(gang, 1, JobPhase.STARTING, next.now));
+    next.advance(5_000);
+    next.answerAll();
+    assertThat(next.running).hasSize(3);
+    assertThat(next.phase(gang)).isEqualTo(JobPhase.RUNNING);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3})
+  void reservationThatIsGoneStopsTheEntireGang(int sent) {
+    JobSpec once = unrepeatable();
+    SiteModel next = keeperLostAfter(sent, once, JobPhase.STARTING);
+    next.reserved.remove(next.reserved.keySet().iterator().next());
+    announceAll(next, 4);
+    next.advance(5_000);
+    next.answerAll();
+    assertThat(next.running).isEmpty();
+    assertThat(next.reserved).isEmpty();
+    assertThat(next.phase(once)).isEqualTo(JobPhase.OUTCOME_UNKNOWN);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"STOPPING", "RUNNING"})
+  void onlyStartsOnRecordAreCompleted(JobPhase recorded) {
+    JobSpec once = unrepeatable();
+    SiteModel next = keeperLostAfter(2, once, recorded);
+    announceAll(next, 4);
+    next.advance(5_000);
+    next.answerAll();
+    assertThat(next.running).isEmpty();
+    assertThat(next.reserved).isEmpty();
+    assertThat(next.phase(once)).isEqualTo(JobPhase.OUTCOME_UNKNOWN);
+  }
+
+  @Test
+  void reservationsWithoutAnyStartAreReleased() {
+    SiteModel next = keeperLostAfter(0, gang, JobPhase.STARTING);
+    announceAll(next, 4);
+    next.advance(5_000);
+    assertThat(next.reserved).isEmpty();
+    next.advance(1_000);
+    next.answerAll();
+    assertThat(next.startedAttempts.get(gang.id())).containsExactly(2);
+  }
+
+  @Test
+  void drainBeginsNothingAndFinishesTheStarts() {
+    JobSpec other = SiteModel.job("other", 2, 4);
+    site.submit(gang);
+    for (int i = 0; i < 4; i++) {
+      site.answer(0, true);
+    }
+    site.submit(other);
+    assertThat(site.scheduler.isStarting()).isTrue();
+    site.apply(site.scheduler.drain(site.now));
+    site.answerAll();
+    site.advance(100);
+    site.answerAll();
+    assertThat(site.scheduler.isStarting()).isFalse();
+    assertThat(site.phase(gang)).isEqualTo(JobPhase.RUNNING);
+    assertThat(site.running).hasSize(4);
+    assertThat(site.reserved).isEmpty();
+    assertThat(site.phase(other)).isEqualTo(JobPhase.QUEUED);
+  }
+
+  /** Returns the successor of a keeper that was lost when it had sent some starts of a gang. */
+  private SiteModel keeperLostAfter(int sent, JobSpec job, JobPhase recorded) {
+    site.submit(job);
+    for (int i = 0; i < 4; i++) {
+      site.answer(0, true);
+    }
+    List<SchedulerAction> starts = List.copyOf(site.unanswered);
+    starts.stream().skip(sent).forEach(start -> site.unsend((SchedulerAction.Start) start));
+    SiteModel next = new SiteModel(SchedulingPolicy.DEFAULT);
+    next.running.putAll(site.running);
+    next.reserved.putAll(site.reserved);
+    next.records.putAll(site.records);
+    next.apply(next.scheduler.leaseGranted(new Term(2), SiteModel.LEASE_MILLIS, 0));
+    if (recorded != null) {
+      next.apply(next.scheduler.jobRestored(job, 1, recorded, 0));
+    }
+    return next;
+  }
+
+  private static void announceAll(SiteModel site, int workers) {
+    for (int i = 0; i < workers; i++) {
+      site.announce(i, 2);
+    }
+  }
+
   @ParameterizedTest
   @CsvSource({
     "1,9,DOMAIN,REFUSED_TASK_SIZE",
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/schedule/SchedulerStateMachineTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/schedule/SchedulerStateMachineTest.java
@@ -58,7 +58,8 @@
     LEAVE,
     TIME,
     SWITCH,
-    NEW_TERM
+    NEW_TERM,
+    CUT_STARTS
   }
 
   record Step(Kind kind, int first, int second) {}
@@ -113,7 +114,8 @@
               site.scheduler.workerLeaving(SiteModel.target(step.first() % WORKERS), site.now));
       case TIME -> site.advance(step.first() * 100L);
       case SWITCH -> switchDomain(step.first() % 2 == 0, step.second());
-      default -> newTerm(step.first() % (WORKERS + 1));
+      case CUT_STARTS -> cutStarts(step);
+      default -> newTerm(step.first() % (WORKERS + 1), step.second());
     }
   }
 
@@ -179,8 +181,28 @@
     site.apply(site.scheduler.domainSwitched(order, site.now));
   }
 
-  private void newTerm(int reporting) {
-    site.reserved.clear();
+  /** Lets every reservation be answered and changes the keeper amid the starts that follow. */
+  private void cutStarts(Step step) {
+    for (SchedulerAction action : List.copyOf(site.unanswered)) {
+      int index = site.unanswered.indexOf(action);
+      if (action instanceof SchedulerAction.Reserve && index >= 0) {
+        site.answer(index, true);
+      }
+    }
+    newTerm(step.first() % (WORKERS + 1), step.second());
+  }
+
+  /** Changes the keeper; each bit of {@code unsent} cuts off one start that is under way. */
+  private void newTerm(int reporting, int unsent) {
+    if (unsent % 4 == 3) {
+      site.reserved.clear();
+    }
+    int number = 0;
+    for (SchedulerAction action : List.copyOf(site.unanswered)) {
+      if (action instanceof SchedulerAction.Start start && (unsent >> number++ & 1) == 1) {
+        site.unsend(start);
+      }
+    }
     site.unanswered.removeIf(action -> action instanceof SchedulerAction.Reserve);
     site.apply(site.scheduler.leaseGranted(new Term(++term), SiteModel.LEASE_MILLIS, site.now));
     announceAll(reporting);
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/schedule/SiteModel.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/schedule/SiteModel.java
@@ -86,9 +86,17 @@
             tasks.add(new RunningTask(task, records.get(task)));
           }
         });
+    List<TaskId> held = new ArrayList<>();
+    reserved.forEach(
+        (task, target) -> {
+          if (target.equals(target(index))) {
+            held.add(task);
+          }
+        });
     RackId rack = new RackId("r" + index / perRack);
     apply(
-        scheduler.workerAnnounced(new WorkerDescription(target(index), rack, WORKER, tasks), now));
+        scheduler.workerAnnounced(
+            new WorkerDescription(target(index), rack, WORKER, tasks, held), now));
   }
 
   void advance(long millis) {
@@ -184,6 +192,14 @@
     }
   }
 
+  /** Undoes a start that a lost keeper did not send; the worker still holds the reservation. */
+  void unsend(SchedulerAction.Start start) {
+    unanswered.remove(start);
+    if (running.remove(start.task()) != null) {
+      reserved.put(start.task(), start.target());
+    }
+  }
+
   /** Loses a message, or only its answer after the worker acted on it. */
   void drop(int index, boolean onlyAnswer) {
     SchedulerAction action = unanswered.remove(index);
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/HeldStarts.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/HeldStarts.java
@@ -24,9 +24,15 @@
 
   private final Deque<Held> waiting = new ArrayDeque<>();
 
-  /** Holds a start. */
+  /** Holds a start. All starts of a gang share one time, so that they are dropped together. */
   void add(SchedulerAction.Start start, long nowMillis) {
-    waiting.add(new Held(start, nowMillis));
+    Held last = waiting.peekLast();
+    boolean sameGang = last != null && isSameGang(last.start().task(), start.task());
+    waiting.add(new Held(start, sameGang ? last.sinceMillis() : nowMillis));
+  }
+
+  private static boolean isSameGang(TaskId one, TaskId other) {
+    return one.job().equals(other.job()) && one.attempt() == other.attempt();
   }
 
   /** Sends the starts that may be sent now, and drops those that waited too long. */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobBook.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobBook.java
@@ -46,6 +46,7 @@
   private final Duty duty;
   private final PeerTransport transport;
   private final JobLog log;
+  private final Runnable onHeld;
   private final Map<JobId, String> reasons = new HashMap<>();
 
   JobBook(
@@ -54,7 +55,8 @@
       MonotonicClock clock,
       Duty duty,
       PeerTransport transport,
-      JobLog log) {
+      JobLog log,
+      Runnable onHeld) {
     this.domain = domain;
     this.ledger = new JobLedger(domain, LedgerSettings.DEFAULT);
     this.ledger.setPeers(peers);
@@ -62,6 +64,7 @@
     this.duty = duty;
     this.transport = transport;
     this.log = log;
+    this.onHeld = onHeld;
   }
 
   // Accessors
@@ -207,7 +210,7 @@
     transport
         .ask(peer, new JobMessage.Replicate(record), JobMessage.Replicated.class, PEER_TIMEOUT)
         .subscribe(
-            done -> duty.offer(() -> ledger.peerAcknowledged(peer, record)),
+            done -> duty.offer(() -> peerHolds(peer, record)),
             error -> LOG.debug("peer {} did not take job {}", peer, record.spec().id()));
   }
 
@@ -216,12 +219,22 @@
         .subscribe(
             recorded -> {
               if (recorded) {
-                duty.offer(() -> ledger.logRecorded(record, clock.nowMillis()));
+                duty.offer(() -> logHolds(record));
               }
             },
             error -> LOG.debug("the log did not take job {}", record.spec().id()));
   }
 
+  private void peerHolds(InstanceId peer, LedgerRecord record) {
+    ledger.peerAcknowledged(peer, record);
+    onHeld.run();
+  }
+
+  private void logHolds(LedgerRecord record) {
+    ledger.logRecorded(record, clock.nowMillis());
+    onHeld.run();
+  }
+
   private static String describe(JobHolding holding) {
     String kind = holding.kind().name().toLowerCase(Locale.ROOT);
     return holding.kind() == JobHolding.Kind.PEERS ? kind + " " + holding.peers() : kind;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
@@ -63,6 +63,8 @@
   private static final String REFUSED_PREFIX = "refused-";
   private static final Duration HOLD_CHECK_INTERVAL = Duration.ofMillis(10);
   private static final Duration HOLD_MOST = Duration.ofMillis(1_500);
+  private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(10);
+  private static final Duration DRAIN_MOST = Duration.ofSeconds(3);
 
   private final FailureDomainId domain;
   private final MonotonicClock clock;
@@ -118,7 +120,8 @@
     this.commands =
         new CommandSender(workers, client, metrics, () -> lease.mayStart(clock.nowMillis()));
     this.jobLog = jobLog;
-    this.jobs = new JobBook(domain, neighbours, clock, duty, transport, jobLog);
+    this.jobs =
+        new JobBook(domain, neighbours, clock, duty, transport, jobLog, this::releaseStarts);
     transport.onTell(
         KeeperMessage.class,
         (from, message) -> duty.offer(() -> run(lease.receive(message, clock.nowMillis()))));
@@ -138,9 +141,25 @@
 
   @Override
   public void close() {
+    drain();
     duty.close();
   }
 
+  /** Begins nothing new and waits, for a bounded time, until no gang is between its starts. */
+  private void drain() {
+    duty.ask(this::drainStep)
+        .repeatWhen(rounds -> rounds.delayElements(DRAIN_CHECK_INTERVAL))
+        .takeUntil(starting -> !starting)
+        .take(DRAIN_MOST)
+        .onErrorComplete()
+        .blockLast();
+  }
+
+  private boolean drainStep() {
+    perform(scheduler.drain(clock.nowMillis()));
+    return scheduler.isStarting();
+  }
+
   // Accessors; may be called from any thread
 
   /**
@@ -374,10 +393,14 @@
     }
     perform(scheduler.tick(nowMillis));
     jobs.tick(lease.mayStart(nowMillis), nowMillis);
-    heldStarts.release(nowMillis, jobs::mayStart, this::sendStart);
+    releaseStarts();
     publish(nowMillis);
   }
 
+  private void releaseStarts() {
+    heldStarts.release(clock.nowMillis(), jobs::mayStart, this::sendStart);
+  }
+
   private void publish(long nowMillis) {
     publishedTerm = lease.mayStart(nowMillis) ? lease.term() : Term.NONE;
     publishedWorkers = workers.size();
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/WorkerRegistry.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/WorkerRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.primrosegauge.core.InvalidInputException;
 import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.TaskId;
 import org.primrosegauge.core.job.JobSpec;
 import org.primrosegauge.core.schedule.EndedTask;
 import org.primrosegauge.core.schedule.RunningTask;
@@ -108,12 +109,16 @@
   static WorkerDescription describe(TargetId worker, WorkerAnnouncement announcement)
       throws InvalidInputException {
     List<RunningTask> running = new ArrayList<>();
+    List<TaskId> reserved = new ArrayList<>();
     for (TaskReport report : announcement.tasks()) {
       if (report.running()) {
         running.add(new RunningTask(report.task(), readRecord(report)));
+      } else {
+        reserved.add(report.task());
       }
     }
-    return new WorkerDescription(worker, announcement.rack(), announcement.capacity(), running);
+    return new WorkerDescription(
+        worker, announcement.rack(), announcement.capacity(), running, reserved);
   }
 
   /** Returns the report of usage and ended tasks that the scheduler takes. */
