--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/LoopbackSite.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/LoopbackSite.java
@@ -201,7 +201,6 @@
             .header("Primrosegauge-Request-Id", "configure")
             .header("Primrosegauge-Expected-Revision", "0")
             .PUT(HttpRequest.BodyPublishers.ofString(body))
-            .tls(TlsSettings.OFF)
             .build();
     return http.send(request, HttpResponse.BodyHandlers.ofString());
   }
