--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
@@ -30,6 +30,7 @@
 import org.primrosegauge.node.http.HttpApi;
 import org.primrosegauge.node.job.JobApi;
 import org.primrosegauge.node.keeper.KeeperDuty;
+import org.primrosegauge.node.keeper.KeeperFigures;
 import org.primrosegauge.node.log.LogDuty;
 import org.primrosegauge.node.log.LogStorage;
 import org.primrosegauge.node.log.RegistryJobLog;
@@ -308,8 +309,9 @@
   }
 
   private Membership.OwnState ownState() {
+    KeeperFigures figures = keeper.figures();
     return new Membership.OwnState(
-        isReady(), keeper.term(), inForce, keeper.switchInForce(), keeper.freeAccelerators());
+        isReady(), figures.term(), inForce, figures.switchInForce(), figures.freeAccelerators());
   }
 
   private boolean isReady() {
@@ -356,17 +358,18 @@
   }
 
   private StatusView status() {
+    KeeperFigures figures = keeper.figures();
     return new StatusView(
         self,
         domain,
         isReady(),
         registry.leader(),
         membership.keeperOf(domain).orElse(null),
-        keeper.term(),
+        figures.term(),
         inForce,
-        keeper.workers(),
+        figures.workers(),
         requests.attachedExecutors(),
-        keeper.queuedJobs(),
-        keeper.runningJobs());
+        figures.queuedJobs(),
+        figures.runningJobs());
   }
 }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobBook.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobBook.java
@@ -81,6 +81,11 @@
     return ledger.find(job).isPresent();
   }
 
+  /** Refuses a job that is not known. */
+  void requireKnown(JobId job) throws NotFoundException {
+    ledger.holding(job);
+  }
+
   /** Returns what callers are told about a job. */
   JobView view(JobId job, String waitsFor) throws NotFoundException {
     JobHolding holding = ledger.holding(job);
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
@@ -3,17 +3,14 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
-import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.Revision;
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.TaskId;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.job.JobPhase;
-import org.primrosegauge.core.job.JobSpec;
 import org.primrosegauge.core.job.LedgerRecord;
 import org.primrosegauge.core.keeper.KeeperAction;
 import org.primrosegauge.core.keeper.KeeperLease;
@@ -23,7 +20,6 @@
 import org.primrosegauge.core.keeper.cfg.KeeperSettings;
 import org.primrosegauge.core.registry.RegistryCommand;
 import org.primrosegauge.core.schedule.DomainScheduler;
-import org.primrosegauge.core.schedule.Explanation;
 import org.primrosegauge.core.schedule.JobReason;
 import org.primrosegauge.core.schedule.RunningTask;
 import org.primrosegauge.core.schedule.SchedulerAction;
@@ -38,7 +34,6 @@
 import org.primrosegauge.node.metrics.NodeMetrics;
 import org.primrosegauge.node.target.WorkerClient;
 import org.primrosegauge.node.transport.PeerTransport;
-import org.primrosegauge.wire.api.JobView;
 import org.primrosegauge.wire.api.TargetView;
 import org.primrosegauge.wire.target.AnnouncementReply;
 import org.primrosegauge.wire.target.TaskEnd;
@@ -61,9 +56,6 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(KeeperDuty.class);
   private static final long TICK_MILLIS = 50;
-  private static final String REFUSED_PREFIX = "refused-";
-  private static final Duration HOLD_CHECK_INTERVAL = Duration.ofMillis(10);
-  private static final Duration HOLD_MOST = Duration.ofMillis(1_500);
   private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(10);
   private static final Duration DRAIN_MOST = Duration.ofSeconds(3);
 
@@ -80,12 +72,8 @@
   private final JobBook jobs;
   private final JobLog jobLog;
   private final HeldStarts heldStarts = new HeldStarts();
-  private volatile Term publishedTerm = Term.NONE;
-  private volatile Revision publishedSwitch = Revision.NONE;
-  private volatile int publishedWorkers;
-  private volatile int publishedFree;
-  private volatile int publishedQueued;
-  private volatile int publishedRunning;
+  private Revision switchInForce = Revision.NONE;
+  private volatile KeeperFigures figures = KeeperFigures.NONE;
 
   /**
    * Creates the duty.
@@ -126,7 +114,9 @@
     transport.onTell(
         KeeperMessage.class,
         (from, message) -> duty.offer(() -> run(lease.receive(message, clock.nowMillis()))));
-    transport.onAsk(JobMessage.Question.class, (from, question) -> answer(question));
+    JobDesk desk =
+        new JobDesk(domain, lease, scheduler, jobs, clock, duty, actions -> perform(actions));
+    transport.onAsk(JobMessage.Question.class, (from, question) -> desk.answer(question));
   }
 
   // Life-cycle
@@ -164,30 +154,12 @@
   // Accessors; may be called from any thread
 
   /**
-   * Returns the term under which this instance is in office, or {@link Term#NONE}.
+   * Returns what the duty last published about itself.
    *
    * @since 0.1
    */
-  public Term term() {
-    return publishedTerm;
-  }
-
-  /**
-   * Returns the revision of the domain's switch that this keeper has taken over.
-   *
-   * @since 0.1
-   */
-  public Revision switchInForce() {
-    return publishedSwitch;
-  }
-
-  /**
-   * Returns the number of workers that hold a lease from this keeper.
-   *
-   * @since 0.1
-   */
-  public int workers() {
-    return publishedWorkers;
+  public KeeperFigures figures() {
+    return figures;
   }
 
   /**
@@ -199,33 +171,6 @@
     return duty.ask(workers::views);
   }
 
-  /**
-   * Returns the accelerators that no announced task uses.
-   *
-   * @since 0.1
-   */
-  public int freeAccelerators() {
-    return publishedFree;
-  }
-
-  /**
-   * Returns the jobs that wait in the domain.
-   *
-   * @since 0.1
-   */
-  public int queuedJobs() {
-    return publishedQueued;
-  }
-
-  /**
-   * Returns the jobs that run in the domain.
-   *
-   * @since 0.1
-   */
-  public int runningJobs() {
-    return publishedRunning;
-  }
-
   // Events; may be called from any thread
 
   /**
@@ -278,8 +223,8 @@
     return duty.offer(
         () -> {
           perform(scheduler.domainSwitched(order, clock.nowMillis()));
-          if (order.revision().compareTo(publishedSwitch) > 0) {
-            publishedSwitch = order.revision();
+          if (order.revision().compareTo(switchInForce) > 0) {
+            switchInForce = order.revision();
           }
         });
   }
@@ -293,90 +238,6 @@
     return duty.offer(() -> run(lease.officeObserved(office, clock.nowMillis())));
   }
 
-  // Jobs
-
-  private Mono<JobMessage> answer(JobMessage.Question question) {
-    Mono<JobMessage> decided =
-        duty.ask(
-            () -> {
-              try {
-                return decide(question);
-              } catch (PrimrosegaugeException e) {
-                return JobMessage.Refused.of(e);
-              }
-            });
-    return question instanceof JobMessage.Submit submit
-        ? decided.flatMap(answer -> whenHeld(submit.job().id(), answer))
-        : decided;
-  }
-
-  /** Delays the acceptance of a job until somebody else holds its record, for a bounded time. */
-  private Mono<JobMessage> whenHeld(JobId job, JobMessage accepted) {
-    if (!(accepted instanceof JobMessage.Found)) {
-      return Mono.just(accepted);
-    }
-    return duty.ask(() -> jobs.isHeldAlone(job))
-        .repeatWhen(rounds -> rounds.delayElements(HOLD_CHECK_INTERVAL))
-        .takeUntil(alone -> !alone)
-        .take(HOLD_MOST)
-        .then(duty.<JobMessage>ask(() -> new JobMessage.Found(view(job))));
-  }
-
-  private JobMessage decide(JobMessage.Question question) throws PrimrosegaugeException {
-    if (question instanceof JobMessage.Replicate replicate) {
-      jobs.merge(replicate.record());
-      return new JobMessage.Replicated();
-    } else if (question instanceof JobMessage.Show show) {
-      return new JobMessage.Found(view(show.job()));
-    } else if (question instanceof JobMessage.ListAll list) {
-      return new JobMessage.FoundAll(jobs.views(list.most()));
-    }
-    requireOffice();
-    if (question instanceof JobMessage.Submit submit) {
-      return new JobMessage.Found(submit(submit.job()));
-    }
-    JobId cancelled = ((JobMessage.Cancel) question).job();
-    jobs.view(cancelled, null);
-    perform(scheduler.cancel(cancelled, clock.nowMillis()));
-    return new JobMessage.Found(view(cancelled));
-  }
-
-  private void requireOffice() throws PrimrosegaugeException {
-    if (!lease.mayStart(clock.nowMillis())) {
-      throw new PrimrosegaugeException(
-          ErrorKind.UNAVAILABLE,
-          "this instance is not the keeper of failure domain " + domain,
-          "come back in a second",
-          "");
-    }
-  }
-
-  private JobView submit(JobSpec job) throws PrimrosegaugeException {
-    if (jobs.accept(job, lease.term())) {
-      perform(scheduler.submit(job, clock.nowMillis()));
-    }
-    JobView view = view(job.id());
-    if (view.phase() == JobPhase.FAILED && view.reason().startsWith(REFUSED_PREFIX)) {
-      throw new PrimrosegaugeException(
-          ErrorKind.INFEASIBLE,
-          "job " + job.id() + " can never run here: " + view.reason(),
-          "make the gang or its tasks smaller, or name a larger failure domain in the id",
-          "");
-    }
-    return view;
-  }
-
-  private JobView view(JobId job) throws PrimrosegaugeException {
-    String waitsFor = scheduler.explain(job, clock.nowMillis()).map(this::describe).orElse(null);
-    return jobs.view(job, waitsFor);
-  }
-
-  private String describe(Explanation explanation) {
-    long seconds = (clock.nowMillis() - explanation.sinceMillis()) / 1_000;
-    String behind = explanation.behind().map(job -> " behind job " + job).orElse("");
-    return explanation.reason().label() + behind + " for " + seconds + " s";
-  }
-
   // Workers
 
   private Optional<AnnouncementReply> takeAnnouncement(
@@ -423,19 +284,14 @@
   }
 
   private void publish(long nowMillis) {
-    publishedTerm = lease.mayStart(nowMillis) ? lease.term() : Term.NONE;
-    publishedWorkers = workers.size();
-    publishedQueued = jobs.count(JobPhase.QUEUED);
-    publishedRunning = jobs.count(JobPhase.RUNNING);
-    publishedFree =
-        workers.all().values().stream()
-            .mapToInt(
-                known ->
-                    known.last().capacity().accelerators()
-                        - known.last().tasks().stream()
-                            .mapToInt(task -> task.usage().accelerators())
-                            .sum())
-            .sum();
+    figures =
+        new KeeperFigures(
+            lease.mayStart(nowMillis) ? lease.term() : Term.NONE,
+            switchInForce,
+            workers.size(),
+            workers.freeAccelerators(),
+            jobs.count(JobPhase.QUEUED),
+            jobs.count(JobPhase.RUNNING));
   }
 
   // Actions of the lease
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/WorkerRegistry.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/WorkerRegistry.java
@@ -48,11 +48,6 @@
     return leaseMillis;
   }
 
-  /** Returns the workers that hold a lease. */
-  Map<TargetId, Known> all() {
-    return Map.copyOf(known);
-  }
-
   /** Returns the number of workers that hold a lease. */
   int size() {
     return known.size();
@@ -77,6 +72,16 @@
         last.capacity().accelerators());
   }
 
+  /** Returns the accelerators that no announced task uses. */
+  int freeAccelerators() {
+    return known.values().stream().mapToInt(entry -> freeAccelerators(entry.last())).sum();
+  }
+
+  private static int freeAccelerators(WorkerAnnouncement worker) {
+    int used = worker.tasks().stream().mapToInt(task -> task.usage().accelerators()).sum();
+    return worker.capacity().accelerators() - used;
+  }
+
   /** Returns where a worker takes commands. */
   Optional<String> address(TargetId worker) {
     return Optional.ofNullable(known.get(worker)).map(entry -> entry.last().address());
