--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobDesk.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobDesk.java
@@ -13,6 +13,7 @@
 import org.primrosegauge.core.keeper.KeeperLease;
 import org.primrosegauge.core.schedule.DomainScheduler;
 import org.primrosegauge.core.schedule.Explanation;
+import org.primrosegauge.core.schedule.JobReason;
 import org.primrosegauge.core.schedule.SchedulerAction;
 import org.primrosegauge.node.duty.Duty;
 import org.primrosegauge.node.duty.MonotonicClock;
@@ -120,12 +121,22 @@
       throw new PrimrosegaugeException(
           ErrorKind.INFEASIBLE,
           "job " + job.id() + " can never run here: " + view.reason(),
-          "make the gang or its tasks smaller, or name a larger failure domain in the id",
+          remedy(view.reason()),
           "");
     }
     return view;
   }
 
+  /** Returns what the caller of a refused job can do about it. */
+  static String remedy(String reason) {
+    if (reason.startsWith(JobReason.REFUSED_CUSTOMER.label())) {
+      return "correct the customer's id, or ask an operator to configure the customer";
+    } else if (reason.startsWith(JobReason.REFUSED_QUOTA.label())) {
+      return "make the gang smaller, or ask an operator to raise the customer's quota";
+    }
+    return "make the gang or its tasks smaller, or name a larger failure domain in the id";
+  }
+
   private JobView cancel(JobId job) throws PrimrosegaugeException {
     jobs.requireKnown(job);
     performer.accept(scheduler.cancel(job, clock.nowMillis()));
