Registry service retries in one place, unknown outcome defined once, jobs counted without copies

Cause: the read-through found the same retry chain twice, the same error in two classes, and the keeper's tick copying the whole ledger twice, 20 times a second, to count two phases. Ruled out: merging the chains of history and job records too, which differ in what they ask. Change: untilLeaderAnswers, one outcomeUnknown, JobLedger.countOpen. Behaviour as before.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/job/JobLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/job/JobLedger.java
@@ -75,6 +75,20 @@
     return entries.values().stream().map(LedgerEntry::record).toList();
   }
 
+  /**
+   * Returns the number of jobs of this domain in a phase that is not final.
+   *
+   * @since 0.1
+   */
+  public int countOpen(JobPhase phase) {
+    return (int)
+        entries.values().stream()
+            .map(LedgerEntry::record)
+            .filter(record -> record.phase() == phase)
+            .filter(record -> !record.isFinal() && record.home().equals(domain))
+            .count();
+  }
+
   /**
    * Returns how the present version of a job's record is held.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobBook.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobBook.java
@@ -1,6 +1,7 @@
 package org.primrosegauge.node.keeper;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -109,7 +110,7 @@
 
   /** Returns views of the jobs of this domain. */
   List<JobView> views(int most) throws NotFoundException {
-    List<JobView> views = new java.util.ArrayList<>();
+    List<JobView> views = new ArrayList<>();
     for (LedgerRecord record : ledger.records()) {
       if (views.size() < most && record.home().equals(domain)) {
         views.add(view(record.spec().id(), null));
@@ -120,7 +121,7 @@
 
   /** Returns the number of jobs in a phase. */
   int count(JobPhase phase) {
-    return (int) open().stream().filter(record -> record.phase() == phase).count();
+    return ledger.countOpen(phase);
   }
 
   /** Tells whether the record of a job is held by nobody else yet. */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
@@ -347,7 +347,7 @@
         ErrorKind.UNAVAILABLE, "this instance does not lead the log", "ask the leader", "");
   }
 
-  private static PrimrosegaugeException outcomeUnknown() {
+  static PrimrosegaugeException outcomeUnknown() {
     return new PrimrosegaugeException(
         ErrorKind.OUTCOME_UNKNOWN,
         "the leader changed before the outcome was known",
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryService.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryService.java
@@ -27,6 +27,7 @@
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.util.retry.Retry;
 
 /**
  * Access to the registry from any instance: proposals find the leader, and the view of an instance
@@ -147,11 +148,7 @@
    */
   public Mono<RegistryResult> propose(RegistryCommand command) {
     byte[] bytes = codec.write(command);
-    return Mono.defer(() -> proposeOnce(bytes, command))
-        .retryWhen(
-            reactor.util.retry.Retry.fixedDelay(Long.MAX_VALUE, RETRY_PAUSE)
-                .filter(RegistryService::wasNotProposed))
-        .timeout(PROPOSAL_TIMEOUT, Mono.error(RegistryService::noQuorum));
+    return untilLeaderAnswers(Mono.defer(() -> proposeOnce(bytes, command)));
   }
 
   /**
@@ -185,11 +182,7 @@
    * @since 0.1
    */
   public Mono<List<JobRecord>> jobs(FailureDomainId domain) {
-    return Mono.defer(() -> jobsOnce(domain))
-        .retryWhen(
-            reactor.util.retry.Retry.fixedDelay(Long.MAX_VALUE, RETRY_PAUSE)
-                .filter(RegistryService::wasNotProposed))
-        .timeout(PROPOSAL_TIMEOUT, Mono.error(RegistryService::noQuorum));
+    return untilLeaderAnswers(Mono.defer(() -> jobsOnce(domain)));
   }
 
   /**
@@ -290,7 +283,7 @@
     }
     if (answer instanceof RegistryMessage.NotApplied refused) {
       likelyLeader = asked.equals(refused.leader()) ? null : refused.leader();
-      return Mono.error(refused.outcomeUnknown() ? outcomeUnknown() : noQuorum());
+      return Mono.error(refused.outcomeUnknown() ? LogDuty.outcomeUnknown() : noQuorum());
     }
     return Mono.error(noQuorum());
   }
@@ -339,6 +332,13 @@
         mine.offices());
   }
 
+  /** Tries again while no leader answers, for a bounded time. */
+  private static <T> Mono<T> untilLeaderAnswers(Mono<T> once) {
+    return once.retryWhen(
+            Retry.fixedDelay(Long.MAX_VALUE, RETRY_PAUSE).filter(RegistryService::wasNotProposed))
+        .timeout(PROPOSAL_TIMEOUT, Mono.error(RegistryService::noQuorum));
+  }
+
   private static boolean wasNotProposed(Throwable error) {
     return error instanceof PrimrosegaugeException known && known.kind() == ErrorKind.UNAVAILABLE;
   }
@@ -356,14 +356,6 @@
         "");
   }
 
-  private static PrimrosegaugeException outcomeUnknown() {
-    return new PrimrosegaugeException(
-        ErrorKind.OUTCOME_UNKNOWN,
-        "the leader changed before the outcome was known",
-        "send the same request id again: it gets the first answer",
-        "");
-  }
-
   static byte[] deflate(String content) {
     Deflater deflater = new Deflater(Deflater.BEST_SPEED);
     try {
