--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -34,6 +34,9 @@
  */
 public final class LogReplica {
 
+  /** A learner is removed after this many times the silence after which a voter is replaced. */
+  private static final int LEARNER_LOSS_FACTOR = 6;
+
   private final ReplicaContext context;
   private final RandomGenerator random;
   private final Follower follower;
@@ -425,6 +428,38 @@
         return;
       }
     }
+    if (context.settings().targetVoters() > 0) {
+      removeSilentMember(nowMillis);
+    }
+  }
+
+  /** Removes a voter beyond the target that is silent, or a learner that is silent for long. */
+  private void removeSilentMember(long nowMillis) {
+    int loss = context.settings().voterLossMillis();
+    boolean hasSpareVoter =
+        context.membership().voters().size() > context.settings().targetVoters();
+    for (Member member : context.membership().members()) {
+      boolean isRemovable =
+          member.isVoter()
+              ? hasSpareVoter && leader.isSilent(member, loss, nowMillis)
+              : leader.isSilent(member, LEARNER_LOSS_FACTOR * loss, nowMillis);
+      MembershipChange change = new MembershipChange.Remove(member.replica().instance());
+      if (isRemovable && changeRefusal(change, nowMillis) == null) {
+        leader.append(context.membership().with(change), nowMillis);
+        return;
+      }
+    }
+  }
+
+  private boolean isVoterWanted(long nowMillis) {
+    int target = context.settings().targetVoters();
+    int voters = context.membership().voters().size();
+    boolean hasSilentVoter =
+        context.membership().members().stream()
+            .filter(Member::isVoter)
+            .anyMatch(
+                voter -> leader.isSilent(voter, context.settings().voterLossMillis(), nowMillis));
+    return voters < target || (voters == target && hasSilentVoter);
   }
 
   private MembershipChange readmission(Member member, long nowMillis) {
@@ -436,7 +471,11 @@
     if (replacement != null) {
       return new MembershipChange.AddLearner(replacement);
     }
-    boolean isDue = !member.isVoter() && context.settings().initialVoters().contains(instance);
+    boolean isWanted =
+        context.settings().targetVoters() > 0
+            ? isVoterWanted(nowMillis)
+            : context.settings().initialVoters().contains(instance);
+    boolean isDue = !member.isVoter() && isWanted;
     return isDue ? new MembershipChange.Promote(instance) : null;
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/cfg/LogSettings.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/cfg/LogSettings.java
@@ -24,6 +24,10 @@
  *     late
  * @param automaticReadmission whether the leader readmits a voter that returned with an empty disk,
  *     first as a learner
+ * @param targetVoters number of voters up to which the leader promotes any learner; 0 when only
+ *     initial voters are promoted
+ * @param voterLossMillis silence after which a voter is replaced by a learner, in milliseconds;
+ *     used with {@code targetVoters} only
  * @since 0.1
  */
 public record LogSettings(
@@ -38,7 +42,9 @@
     int maxUncommittedBytes,
     int snapshotChunkBytes,
     int trailingEntries,
-    boolean automaticReadmission) {
+    boolean automaticReadmission,
+    int targetVoters,
+    int voterLossMillis) {
 
   private static final int HEARTBEAT_MILLIS = 250;
   private static final int ELECTION_MIN_MILLIS = 1_000;
@@ -49,6 +55,7 @@
   private static final int MAX_UNCOMMITTED_BYTES = 8 * 1024 * 1024;
   private static final int SNAPSHOT_CHUNK_BYTES = 64 * 1024;
   private static final int TRAILING_ENTRIES = 1_000;
+  private static final int VOTER_LOSS_MILLIS = 10_000;
 
   /** Checks the ranges and copies the list. */
   public LogSettings {
@@ -81,7 +88,9 @@
         MAX_UNCOMMITTED_BYTES,
         SNAPSHOT_CHUNK_BYTES,
         TRAILING_ENTRIES,
-        true);
+        true,
+        0,
+        VOTER_LOSS_MILLIS);
   }
 
   /**
@@ -111,7 +120,9 @@
         maxUncommittedBytes,
         snapshotChunkBytes,
         trailingEntries,
-        automaticReadmission);
+        automaticReadmission,
+        targetVoters,
+        voterLossMillis);
   }
 
   /**
@@ -132,7 +143,9 @@
         maxUncommittedBytes,
         chunkBytes,
         trailing,
-        automaticReadmission);
+        automaticReadmission,
+        targetVoters,
+        voterLossMillis);
   }
 
   /**
@@ -153,7 +166,35 @@
         maxUncommittedBytes,
         snapshotChunkBytes,
         trailingEntries,
-        readmits);
+        readmits,
+        targetVoters,
+        voterLossMillis);
+  }
+
+  /**
+   * Returns a copy in which the leader keeps a number of voters: it promotes learners up to it and
+   * replaces voters that stay silent.
+   *
+   * @param target number of voters
+   * @param lossMillis silence after which a voter is replaced, in milliseconds
+   * @since 0.2
+   */
+  public LogSettings withTargetVoters(int target, int lossMillis) {
+    return new LogSettings(
+        self,
+        initialVoters,
+        heartbeatMillis,
+        electionMinMillis,
+        electionMaxMillis,
+        clockDriftPercent,
+        maxBatchBytes,
+        maxInFlightBytes,
+        maxUncommittedBytes,
+        snapshotChunkBytes,
+        trailingEntries,
+        automaticReadmission,
+        target,
+        lossMillis);
   }
 
   private static void require(boolean holds, String setting) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
@@ -188,6 +188,19 @@
         : null;
   }
 
+  /**
+   * Tells whether a member has not answered for a time. A member counts as heard at the start of
+   * the term.
+   */
+  public boolean isSilent(Member member, long forMillis, long nowMillis) {
+    if (member.replica().equals(context.self())) {
+      return false;
+    }
+    FollowerProgress progress = progress(member.replica().instance());
+    long heard = Math.max(startMillis, progress.ackedSentMillis());
+    return nowMillis - heard > forMillis;
+  }
+
   private boolean isFresh(FollowerProgress progress, long nowMillis) {
     return progress.ackedSentMillis() + context.settings().electionMinMillis() > nowMillis;
   }
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobEntry.java
@@ -0,0 +1,144 @@
+package org.primrosegauge.core.scope;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * What the ledger holds of one job. Changed by {@link ScopeLedger} only.
+ *
+ * <p>Not thread-safe.
+ *
+ * @since 0.2
+ */
+public final class JobEntry {
+
+  private final ScopeJob job;
+  private final SortedMap<Integer, List<StepRecord>> occurrences = new TreeMap<>();
+  private JobStatus status = JobStatus.QUEUED;
+  private final Set<Integer> doneOccurrences = new TreeSet<>();
+  private int openRuns;
+  private long endedMillis;
+
+  /** Creates the entry of a job that was just accepted. */
+  JobEntry(ScopeJob job) {
+    this.job = job;
+    if (job.recurrence().equals(Recurrence.NONE)) {
+      occurrence(0);
+    }
+  }
+
+  /** Creates an entry from its parts. */
+  JobEntry(
+      ScopeJob job,
+      JobStatus status,
+      Set<Integer> doneOccurrences,
+      int openRuns,
+      long endedMillis,
+      SortedMap<Integer, List<StepRecord>> occurrences) {
+    this.job = job;
+    this.status = status;
+    this.doneOccurrences.addAll(doneOccurrences);
+    this.openRuns = openRuns;
+    this.endedMillis = endedMillis;
+    this.occurrences.putAll(occurrences);
+  }
+
+  /**
+   * Returns the job as accepted.
+   *
+   * @since 0.2
+   */
+  public ScopeJob job() {
+    return job;
+  }
+
+  /**
+   * Returns the state that callers see.
+   *
+   * @since 0.2
+   */
+  public JobStatus status() {
+    return status;
+  }
+
+  /**
+   * Returns when the job ended, in milliseconds since 1970; 0 before.
+   *
+   * @since 0.2
+   */
+  public long endedMillis() {
+    return endedMillis;
+  }
+
+  /**
+   * Returns the occurrences that are done.
+   *
+   * @since 0.2
+   */
+  public Set<Integer> doneOccurrences() {
+    return doneOccurrences;
+  }
+
+  /**
+   * Returns the number of runs that may be going on.
+   *
+   * @since 0.2
+   */
+  public int openRuns() {
+    return openRuns;
+  }
+
+  /**
+   * Returns the steps of the occurrences that have begun and are not done, by occurrence.
+   *
+   * @since 0.2
+   */
+  public SortedMap<Integer, List<StepRecord>> occurrences() {
+    return occurrences;
+  }
+
+  /**
+   * Returns the steps of an occurrence, creating them when it begins.
+   *
+   * @since 0.2
+   */
+  public List<StepRecord> occurrence(int number) {
+    return occurrences.computeIfAbsent(
+        number, key -> new ArrayList<>(job.steps().stream().map(StepRecord::new).toList()));
+  }
+
+  /**
+   * Returns a step; null when its occurrence has not begun or is done.
+   *
+   * @since 0.2
+   */
+  public StepRecord step(StepKey key) {
+    List<StepRecord> steps = occurrences.get(key.occurrence());
+    return steps == null || key.step() >= steps.size() ? null : steps.get(key.step());
+  }
+
+  void started() {
+    openRuns++;
+    if (status == JobStatus.QUEUED) {
+      status = JobStatus.RUNNING;
+    }
+  }
+
+  void runClosed() {
+    openRuns--;
+  }
+
+  void occurrenceDone(int number) {
+    occurrences.remove(number);
+    doneOccurrences.add(number);
+  }
+
+  void end(JobStatus as, long atMillis) {
+    status = as;
+    endedMillis = atMillis;
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/RunId.java
@@ -0,0 +1,16 @@
+package org.primrosegauge.core.scope;
+
+/**
+ * Identifies one run of a task.
+ *
+ * @param task task
+ * @param attempt number of the run, from 1; the members of a gang share it
+ * @since 0.2
+ */
+public record RunId(TaskKey task, int attempt) {
+
+  @Override
+  public String toString() {
+    return task + "#" + attempt;
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeConfiguration.java
@@ -0,0 +1,89 @@
+package org.primrosegauge.core.scope;
+
+import java.util.List;
+import java.util.Optional;
+import org.primrosegauge.core.CustomerId;
+import org.primrosegauge.core.Revision;
+
+/**
+ * Configuration of a scope, as accepted.
+ *
+ * @param revision number given by the operators; the highest is in force
+ * @param queues queues
+ * @param customers customers
+ * @param maxBodyBytes longest body of a submission, in bytes
+ * @since 0.2
+ */
+public record ScopeConfiguration(
+    Revision revision, List<QueueSpec> queues, List<CustomerSpec> customers, int maxBodyBytes) {
+
+  /** Configuration of a scope that was never configured. */
+  public static final ScopeConfiguration NONE =
+      new ScopeConfiguration(Revision.NONE, List.of(), List.of(), 0);
+
+  /** Copies the lists. */
+  public ScopeConfiguration {
+    queues = List.copyOf(queues);
+    customers = List.copyOf(customers);
+  }
+
+  /**
+   * Tells whether operators have configured the scope.
+   *
+   * @since 0.2
+   */
+  public boolean isPresent() {
+    return !revision.equals(Revision.NONE);
+  }
+
+  /**
+   * Returns the queue with the longest prefix that a path of a host begins with.
+   *
+   * @since 0.2
+   */
+  public Optional<QueueSpec> route(String host, String path) {
+    QueueSpec best = null;
+    for (QueueSpec queue : queues) {
+      boolean matches = queue.host().equalsIgnoreCase(host) && path.startsWith(queue.pathPrefix());
+      boolean isLonger = best == null || queue.pathPrefix().length() > best.pathPrefix().length();
+      if (matches && isLonger) {
+        best = queue;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /**
+   * Returns a queue by its name.
+   *
+   * @since 0.2
+   */
+  public Optional<QueueSpec> queue(QueueName name) {
+    return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
+  }
+
+  /**
+   * Returns the customer that a key belongs to.
+   *
+   * @since 0.2
+   */
+  public Optional<CustomerId> customerOf(String key) {
+    return customers.stream()
+        .filter(customer -> customer.keys().contains(key))
+        .map(CustomerSpec::id)
+        .findFirst();
+  }
+
+  /**
+   * Returns the accelerators guaranteed to a customer; 0 for one that is not configured.
+   *
+   * @since 0.2
+   */
+  public int guaranteedTo(CustomerId customer) {
+    return customers.stream()
+        .filter(known -> known.id().equals(customer))
+        .mapToInt(CustomerSpec::guaranteedAccelerators)
+        .findFirst()
+        .orElse(0);
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -0,0 +1,376 @@
+package org.primrosegauge.core.scope;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.JobId;
+
+/**
+ * Replicated state of a scope: its configuration, domains that are out, workers, jobs, and for each
+ * task where a run of it may be going on.
+ *
+ * <p>Deterministic: equal commands in equal order give equal states. Not thread-safe.
+ *
+ * @since 0.2
+ */
+public final class ScopeLedger {
+
+  private final long retentionMillis;
+  private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
+  private final Map<WorkerKey, WorkerRecord> workers = new LinkedHashMap<>();
+  private final Set<FailureDomainId> domainsOut = new TreeSet<>();
+  private ScopeConfiguration configuration = ScopeConfiguration.NONE;
+  private String content = "";
+
+  /**
+   * Creates an empty ledger.
+   *
+   * @param retentionMillis how long a job that has ended stays known, in milliseconds
+   * @since 0.2
+   */
+  public ScopeLedger(long retentionMillis) {
+    this.retentionMillis = retentionMillis;
+  }
+
+  // Accessors
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @since 0.2
+   */
+  public ScopeConfiguration configuration() {
+    return configuration;
+  }
+
+  /**
+   * Returns the text of the configuration in force, as operators sent it.
+   *
+   * @since 0.2
+   */
+  public String content() {
+    return content;
+  }
+
+  /**
+   * Returns the domains in which nothing may start.
+   *
+   * @since 0.2
+   */
+  public Set<FailureDomainId> domainsOut() {
+    return domainsOut;
+  }
+
+  /**
+   * Returns the jobs in the order in which they were accepted.
+   *
+   * @since 0.2
+   */
+  public Collection<JobEntry> jobs() {
+    return jobs.values();
+  }
+
+  /**
+   * Returns a job.
+   *
+   * @since 0.2
+   */
+  public Optional<JobEntry> job(JobId id) {
+    return Optional.ofNullable(jobs.get(id));
+  }
+
+  /**
+   * Returns the lifetimes of workers that are not known to be over.
+   *
+   * @since 0.2
+   */
+  public Collection<WorkerRecord> workers() {
+    return workers.values();
+  }
+
+  /**
+   * Returns one lifetime of a worker.
+   *
+   * @since 0.2
+   */
+  public Optional<WorkerRecord> worker(WorkerKey key) {
+    return Optional.ofNullable(workers.get(key));
+  }
+
+  /**
+   * Returns the step of a run; null when its job or occurrence is over.
+   *
+   * @since 0.2
+   */
+  public StepRecord step(StepKey key) {
+    JobEntry entry = jobs.get(key.job());
+    return entry == null ? null : entry.step(key);
+  }
+
+  /**
+   * Tells whether a run may be going on.
+   *
+   * @since 0.2
+   */
+  public boolean isOpen(RunId run) {
+    StepRecord step = step(run.task().stepKey());
+    return step != null && step.task(run.task().index()).openAttempt() == run.attempt();
+  }
+
+  /**
+   * Returns how many accepted jobs of a queue have not started a task.
+   *
+   * @since 0.2
+   */
+  public long pending(QueueName queue) {
+    return jobs.values().stream()
+        .filter(entry -> entry.status() == JobStatus.QUEUED && entry.job().queue().equals(queue))
+        .count();
+  }
+
+  // Main API
+
+  /**
+   * Applies a command.
+   *
+   * @since 0.2
+   */
+  public ScopeResult apply(ScopeCommand command) {
+    if (command instanceof ScopeCommand.Configure configure) {
+      configure(configure);
+    } else if (command instanceof ScopeCommand.Submit submit) {
+      submit(submit.job());
+    } else if (command instanceof ScopeCommand.Cancel cancel) {
+      return cancel(cancel);
+    } else if (command instanceof ScopeCommand.SwitchDomain order) {
+      switchDomain(order);
+    } else if (command instanceof ScopeCommand.Place place) {
+      place.placements().forEach(this::place);
+    } else if (command instanceof ScopeCommand.RecordEnds ends) {
+      recordEnds(ends);
+    } else if (command instanceof ScopeCommand.SeeWorker seen) {
+      seeWorker(seen.worker());
+    } else if (command instanceof ScopeCommand.ForgetWorker gone) {
+      forgetWorker(gone.worker());
+    }
+    return ScopeResult.APPLIED;
+  }
+
+  /**
+   * Returns the whole state.
+   *
+   * @since 0.2
+   */
+  public ScopeSnapshot snapshot() {
+    return ScopeSnapshot.of(
+        configuration, content, List.copyOf(domainsOut), workers.values(), jobs.values());
+  }
+
+  /**
+   * Replaces the whole state.
+   *
+   * @since 0.2
+   */
+  public void restore(ScopeSnapshot snapshot) {
+    jobs.clear();
+    workers.clear();
+    domainsOut.clear();
+    configuration = snapshot.configuration();
+    content = snapshot.content();
+    domainsOut.addAll(snapshot.domainsOut());
+    for (ScopeSnapshot.WorkerState worker : snapshot.workers()) {
+      WorkerRecord record = new WorkerRecord(worker.info(), worker.lastEnd());
+      record.openRuns().addAll(worker.openRuns());
+      workers.put(worker.info().key(), record);
+    }
+    for (ScopeSnapshot.JobState state : snapshot.jobs()) {
+      JobEntry entry = state.toEntry();
+      jobs.put(entry.job().id(), entry);
+    }
+  }
+
+  // Internals
+
+  private void configure(ScopeCommand.Configure command) {
+    if (command.configuration().revision().compareTo(configuration.revision()) > 0) {
+      configuration = command.configuration();
+      content = command.content();
+    }
+  }
+
+  private void submit(ScopeJob job) {
+    jobs.values()
+        .removeIf(
+            old ->
+                old.status().isFinal()
+                    && old.openRuns() == 0
+                    && old.endedMillis() + retentionMillis < job.submittedMillis());
+    if (!jobs.containsKey(job.id())) {
+      jobs.put(job.id(), new JobEntry(job));
+    }
+  }
+
+  private ScopeResult cancel(ScopeCommand.Cancel command) {
+    JobEntry entry = jobs.get(command.job());
+    if (entry == null) {
+      return ScopeResult.UNKNOWN_JOB;
+    }
+    if (!entry.status().isFinal()) {
+      entry.end(JobStatus.CANCELLED, command.atMillis());
+    }
+    return ScopeResult.APPLIED;
+  }
+
+  private void switchDomain(ScopeCommand.SwitchDomain order) {
+    if (order.isOut()) {
+      domainsOut.add(order.domain());
+    } else {
+      domainsOut.remove(order.domain());
+    }
+  }
+
+  /** Ignores a placement that an earlier entry has made void, such as a cancel. */
+  private void place(Placement placement) {
+    RunId run = placement.run();
+    JobEntry entry = jobs.get(run.task().job());
+    WorkerRecord worker = workers.get(placement.worker());
+    if (entry == null || entry.status().isFinal() || worker == null) {
+      return;
+    }
+    if (domainsOut.contains(worker.info().domain())) {
+      return;
+    }
+    int occurrence = run.task().occurrence();
+    boolean isOver = entry.doneOccurrences().contains(occurrence);
+    if (isOver || occurrence >= entry.job().recurrence().occurrences()) {
+      return;
+    }
+    StepRecord step = entry.occurrence(occurrence).get(run.task().step());
+    TaskRecord task = step.task(run.task().index());
+    if (task.isDone() || task.isOpen() || run.attempt() <= task.lastAttempt()) {
+      return;
+    }
+    step.open(run.task().index(), run.attempt(), placement.worker());
+    worker.openRuns().add(run);
+    entry.started();
+  }
+
+  private void recordEnds(ScopeCommand.RecordEnds command) {
+    WorkerRecord worker = workers.get(command.worker());
+    if (worker == null) {
+      return;
+    }
+    worker.recorded(command.lastEnd());
+    Set<JobId> changed = new HashSet<>();
+    for (RunEnd end : command.ends()) {
+      if (worker.openRuns().contains(end.run())) {
+        close(worker, end);
+        changed.add(end.run().task().job());
+      }
+    }
+    changed.forEach(job -> settle(jobs.get(job), command.atMillis()));
+  }
+
+  private void close(WorkerRecord worker, RunEnd end) {
+    TaskKey key = end.run().task();
+    worker.openRuns().remove(end.run());
+    JobEntry entry = jobs.get(key.job());
+    StepRecord step = entry.step(key.stepKey());
+    entry.runClosed();
+    if (step == null) {
+      // Its occurrence is done: this is another member of a gang that has ended.
+      return;
+    }
+    step.close(key.index());
+    if (!end.checkpoint().isEmpty()) {
+      saveCheckpoint(step, key.index(), end.checkpoint());
+    }
+    if (end.outcome() == RunOutcome.DONE) {
+      markDone(step, key.index());
+    } else if (end.outcome() == RunOutcome.FAILED && !step.task(key.index()).isDone()) {
+      step.countFailure(key.index(), end.run().attempt());
+    }
+  }
+
+  /** The members of a gang end as done together, so one such end stands for all. */
+  private void markDone(StepRecord step, int index) {
+    if (!step.spec().gang()) {
+      step.markDone(index);
+      return;
+    }
+    for (int member = 0; member < step.tasks().size(); member++) {
+      step.markDone(member);
+    }
+  }
+
+  /** A gang resumes from one checkpoint, whichever member it came from. */
+  private void saveCheckpoint(StepRecord step, int index, String checkpoint) {
+    if (step.spec().gang()) {
+      step.tasks().forEach(task -> task.checkpoint(checkpoint));
+    } else {
+      step.task(index).checkpoint(checkpoint);
+    }
+  }
+
+  private void settle(JobEntry entry, long atMillis) {
+    if (entry.status().isFinal()) {
+      return;
+    }
+    int maxAttempts = maxAttempts(entry);
+    for (Map.Entry<Integer, List<StepRecord>> begun :
+        new ArrayList<>(entry.occurrences().entrySet())) {
+      List<StepRecord> steps = begun.getValue();
+      if (steps.stream().anyMatch(step -> step.hasFailed(maxAttempts))) {
+        entry.end(JobStatus.FAILED, atMillis);
+        return;
+      }
+      boolean isOver = steps.stream().allMatch(StepRecord::isDone);
+      if (isOver) {
+        entry.occurrenceDone(begun.getKey());
+      }
+    }
+    if (entry.doneOccurrences().size() == entry.job().recurrence().occurrences()) {
+      entry.end(JobStatus.COMPLETED, atMillis);
+    }
+  }
+
+  private int maxAttempts(JobEntry entry) {
+    return configuration
+        .queue(entry.job().queue())
+        .map(QueueSpec::maxAttempts)
+        .orElse(entry.job().maxAttempts());
+  }
+
+  private void seeWorker(WorkerInfo info) {
+    List<WorkerKey> earlier =
+        workers.values().stream()
+            .map(WorkerRecord::info)
+            .filter(known -> known.key().bornMillis() < info.key().bornMillis())
+            .filter(
+                known ->
+                    known.key().target().equals(info.key().target())
+                        || known.address().equals(info.address()))
+            .map(WorkerInfo::key)
+            .toList();
+    earlier.forEach(this::forgetWorker);
+    workers.computeIfAbsent(info.key(), key -> new WorkerRecord(info, 0));
+  }
+
+  private void forgetWorker(WorkerKey key) {
+    WorkerRecord worker = workers.get(key);
+    if (worker == null) {
+      return;
+    }
+    for (RunId run : List.copyOf(worker.openRuns())) {
+      close(worker, new RunEnd(run, RunOutcome.WORKER_LOST, ""));
+    }
+    workers.remove(key);
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
@@ -0,0 +1,173 @@
+package org.primrosegauge.core.scope;
+
+import java.util.List;
+import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.scope.cfg.ScopeSettings;
+import org.primrosegauge.core.scope.impl.ScopeCore;
+
+/**
+ * Scheduler of a scope, as the leader of the replicated log runs it. Each method takes one event
+ * and the present, and returns the actions to carry out, in order.
+ *
+ * <p>It decides from a {@link ScopeLedger} that holds everything committed, and starts a run only
+ * after the log has recorded where: a later leader thus knows each run that may be going on. Orders
+ * carry the term of the log as fencing token. The caller carries out orders only while the lease of
+ * the log's leader was valid at the present that it handed in.
+ *
+ * <p>Not thread-safe: one thread owns it. Life-cycle: {@link #takeOffice} when this replica leads
+ * and has applied everything committed, {@link #leaveOffice} when it no longer leads; any number of
+ * times.
+ *
+ * @since 0.2
+ */
+public final class ScopeScheduler {
+
+  private final ScopeCore core;
+
+  /**
+   * Creates a scheduler that does not lead.
+   *
+   * @param ledger state that the caller applies committed commands to
+   * @since 0.2
+   */
+  public ScopeScheduler(ScopeLedger ledger, ScopeSettings settings) {
+    core = new ScopeCore(ledger, settings);
+  }
+
+  // Office
+
+  /**
+   * Begins to decide under a term.
+   *
+   * @since 0.2
+   */
+  public List<ScopeAction> takeOffice(Term term, Present present) {
+    core.takeOffice(term, present);
+    return core.finish(present);
+  }
+
+  /**
+   * Stops deciding and forgets all that is not in the ledger.
+   *
+   * @since 0.2
+   */
+  public void leaveOffice() {
+    core.leaveOffice();
+  }
+
+  /**
+   * Tells whether it decides.
+   *
+   * @since 0.2
+   */
+  public boolean isInOffice() {
+    return core.isInOffice();
+  }
+
+  // Log
+
+  /**
+   * Notes that the ledger has just applied a command.
+   *
+   * @since 0.2
+   */
+  public List<ScopeAction> applied(ScopeCommand command, Present present) {
+    if (!core.isInOffice()) {
+      return List.of();
+    }
+    core.applied(command, present);
+    return core.finish(present);
+  }
+
+  /**
+   * Notes that a proposed command was refused by the log.
+   *
+   * @since 0.2
+   */
+  public List<ScopeAction> proposalFailed(ScopeCommand command, Present present) {
+    if (!core.isInOffice()) {
+      return List.of();
+    }
+    core.proposalFailed(command);
+    return core.finish(present);
+  }
+
+  // Workers
+
+  /**
+   * Takes a heartbeat of a worker.
+   *
+   * @since 0.2
+   */
+  public List<ScopeAction> workerReported(WorkerStatus status, Present present) {
+    core.workerReported(status, present);
+    return core.finish(present);
+  }
+
+  /**
+   * Notes that a worker says it ends now.
+   *
+   * @since 0.2
+   */
+  public List<ScopeAction> workerLeft(TargetId target, Present present) {
+    core.workerLeft(target, present);
+    return core.finish(present);
+  }
+
+  /**
+   * Notes what became of an order to start.
+   *
+   * @param clockMillis the worker's clock; 0 when it did not say
+   * @since 0.2
+   */
+  public List<ScopeAction> startAnswered(
+      RunId run, StartAnswer answer, long clockMillis, Present present) {
+    core.startAnswered(run, answer, clockMillis, present);
+    return core.finish(present);
+  }
+
+  /**
+   * Notes what became of an order to stop.
+   *
+   * @since 0.2
+   */
+  public List<ScopeAction> stopAnswered(RunId run, StopAnswer answer, Present present) {
+    core.stopAnswered(run, answer, present);
+    return core.finish(present);
+  }
+
+  /**
+   * Takes the answer to a look at a worker.
+   *
+   * @since 0.2
+   */
+  public List<ScopeAction> lookAnswered(WorkerKey worker, LookAnswer answer, Present present) {
+    core.lookAnswered(worker, answer, present);
+    return core.finish(present);
+  }
+
+  // Time
+
+  /**
+   * Acts on what is due.
+   *
+   * @since 0.2
+   */
+  public List<ScopeAction> tick(Present present) {
+    if (!core.isInOffice()) {
+      return List.of();
+    }
+    core.tick(present);
+    return core.finish(present);
+  }
+
+  /**
+   * Returns when {@link #tick} is due next, in milliseconds of the monotonic clock.
+   *
+   * @since 0.2
+   */
+  public long wakeAtMillis(Present present) {
+    return core.wakeAtMillis(present);
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepKey.java
@@ -0,0 +1,23 @@
+package org.primrosegauge.core.scope;
+
+import org.primrosegauge.core.JobId;
+
+/**
+ * Identifies one step of one occurrence of a job.
+ *
+ * @param job job
+ * @param occurrence repetition of the job, from 0
+ * @param step step of the job, from 0
+ * @since 0.2
+ */
+public record StepKey(JobId job, int occurrence, int step) {
+
+  /**
+   * Returns the key of a task of this step.
+   *
+   * @since 0.2
+   */
+  public TaskKey task(int index) {
+    return new TaskKey(job, occurrence, step, index);
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerInfo.java
@@ -0,0 +1,34 @@
+package org.primrosegauge.core.scope;
+
+import java.util.List;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.HostPort;
+import org.primrosegauge.core.ServiceId;
+import org.primrosegauge.core.job.Resources;
+
+/**
+ * What a worker announces about one of its lifetimes.
+ *
+ * @param key worker and lifetime
+ * @param address where it takes orders
+ * @param pool service whose queues it works for
+ * @param domain failure domain
+ * @param capacity all that it has
+ * @param labels labels that steps may require
+ * @param rack rack it stands in; empty when not announced
+ * @since 0.2
+ */
+public record WorkerInfo(
+    WorkerKey key,
+    HostPort address,
+    ServiceId pool,
+    FailureDomainId domain,
+    Resources capacity,
+    List<String> labels,
+    String rack) {
+
+  /** Copies the list. */
+  public WorkerInfo {
+    labels = List.copyOf(labels);
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/cfg/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of the scheduling scope. */
+package org.primrosegauge.core.scope.cfg;
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Reservation.java
@@ -0,0 +1,16 @@
+package org.primrosegauge.core.scope.impl;
+
+import java.util.List;
+import java.util.Set;
+import org.primrosegauge.core.scope.RunId;
+
+/**
+ * Room that is being made for a step by stopping other runs.
+ *
+ * @param demand step that the room is for
+ * @param workers a worker for each task of the demand, in its order
+ * @param victims runs that have to end first
+ * @param untilMillis time after which the room is given up
+ */
+record Reservation(
+    Demand demand, List<WorkerSession> workers, Set<RunId> victims, long untilMillis) {}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
@@ -0,0 +1,208 @@
+package org.primrosegauge.core.scope.impl;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.primrosegauge.core.CustomerId;
+import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.JobEntry;
+import org.primrosegauge.core.scope.QueueSpec;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.StepKey;
+import org.primrosegauge.core.scope.StepSpec;
+
+/**
+ * Chooses the runs to stop so that urgent work can start.
+ *
+ * <p>Answers a burst of priority 0 on a full fleet, and a claim of guaranteed accelerators that
+ * others have borrowed: the runs with the least unsaved work give way, a gang as a whole. Work of
+ * priority 0 that is within its customer's guarantee never gives way.
+ */
+final class RoomMaker {
+
+  private static final int URGENT = 0;
+
+  /** A worker with the tasks it can take and the runs that have to end there first. */
+  private record Offer(WorkerSession worker, Set<RunControl> victims, double cost) {}
+
+  private final ScopeState state;
+  private final Placer placer;
+
+  RoomMaker(ScopeState state, Placer placer) {
+    this.state = state;
+    this.placer = placer;
+  }
+
+  /** Returns room for all tasks of an urgent demand, or nothing where none can be made. */
+  Optional<Reservation> makeRoom(Demand demand, long nowMillis) {
+    if (demand.priority() != URGENT) {
+      return Optional.empty();
+    }
+    Guarantees guarantees = new Guarantees(demand);
+    Map<WorkerSession, Resources> freed = new HashMap<>();
+    Map<WorkerSession, Integer> counts = new HashMap<>();
+    Set<RunControl> victims = new LinkedHashSet<>();
+    List<WorkerSession> chosen = new ArrayList<>();
+    List<WorkerSession> usable = placer.usable(demand, nowMillis);
+    for (int i = 0; i < demand.tasks().size(); i++) {
+      Optional<Offer> best =
+          usable.stream()
+              .map(worker -> offer(demand, worker, victims, freed, counts, guarantees, nowMillis))
+              .flatMap(Optional::stream)
+              .min(Comparator.comparingDouble(Offer::cost));
+      if (best.isEmpty()) {
+        return Optional.empty();
+      }
+      take(best.get(), demand.spec().task(), victims, freed, counts);
+      chosen.add(best.get().worker());
+    }
+    Set<RunId> ids = new LinkedHashSet<>();
+    victims.forEach(victim -> ids.add(victim.id));
+    long until = nowMillis + 2 * state.settings.stopTimeoutMillis() + state.settings.lookMillis();
+    return Optional.of(new Reservation(demand, chosen, ids, until));
+  }
+
+  private void take(
+      Offer offer,
+      Resources need,
+      Set<RunControl> victims,
+      Map<WorkerSession, Resources> freed,
+      Map<WorkerSession, Integer> counts) {
+    for (RunControl victim : offer.victims()) {
+      if (victims.add(victim)) {
+        freed.merge(victim.worker, victim.spec.task(), Resources::plus);
+      }
+    }
+    // What is taken is kept as used room: it lessens what the ended runs give back.
+    counts.merge(offer.worker(), 1, Integer::sum);
+  }
+
+  private Optional<Offer> offer(
+      Demand demand,
+      WorkerSession worker,
+      Set<RunControl> victims,
+      Map<WorkerSession, Resources> freed,
+      Map<WorkerSession, Integer> counts,
+      Guarantees guarantees,
+      long nowMillis) {
+    StepSpec spec = demand.spec();
+    int before = counts.getOrDefault(worker, 0);
+    boolean isAtLimit =
+        spec.maxPerWorker() > 0 && worker.tasksOf(demand.key()) + before >= spec.maxPerWorker();
+    if (isAtLimit) {
+      return Optional.empty();
+    }
+    Resources need = times(spec.task(), before + 1);
+    Resources ended = freed.getOrDefault(worker, Resources.NONE);
+    Set<RunControl> extra = new LinkedHashSet<>();
+    double cost = 0;
+    if (!worker.fitsWithout(need, ended)) {
+      List<RunControl> candidates = candidates(worker, victims, guarantees, nowMillis);
+      for (RunControl candidate : candidates) {
+        if (extra.contains(candidate)) {
+          continue;
+        }
+        Collection<RunControl> together = stoppedWith(candidate);
+        cost += together.stream().mapToDouble(run -> run.unsavedCoreSeconds(nowMillis)).sum();
+        for (RunControl run : together) {
+          boolean isNew = !victims.contains(run) && extra.add(run);
+          if (isNew && run.worker == worker) {
+            ended = ended.plus(run.spec.task());
+          }
+        }
+        if (worker.fitsWithout(need, ended)) {
+          break;
+        }
+      }
+      if (!worker.fitsWithout(need, ended)) {
+        return Optional.empty();
+      }
+    }
+    boolean isFar = Placer.isFarFromData(spec, worker);
+    double spare = worker.free().accelerators();
+    return Optional.of(new Offer(worker, extra, cost + (isFar ? 1_000 : 0) + spare / 1_000));
+  }
+
+  private List<RunControl> candidates(
+      WorkerSession worker, Set<RunControl> victims, Guarantees guarantees, long nowMillis) {
+    Map<StepKey, Double> costs = new LinkedHashMap<>();
+    List<RunControl> found = new ArrayList<>();
+    for (RunControl run : worker.runs.values()) {
+      boolean mayStop = run.isRunning() && !run.stopWanted && !victims.contains(run);
+      if (mayStop && guarantees.mayStop(run)) {
+        found.add(run);
+        costs.computeIfAbsent(
+            run.id.task().stepKey(),
+            step ->
+                stoppedWith(run).stream()
+                    .mapToDouble(each -> each.unsavedCoreSeconds(nowMillis))
+                    .sum());
+      }
+    }
+    found.sort(
+        Comparator.comparingDouble(
+            run -> costs.get(run.id.task().stepKey()) / Math.max(1, run.weight())));
+    return found;
+  }
+
+  private Collection<RunControl> stoppedWith(RunControl run) {
+    return run.spec.gang() ? state.runsOf(run.id.task().stepKey()) : List.of(run);
+  }
+
+  private static Resources times(Resources one, int count) {
+    return new Resources(
+        one.milliCores() * count, one.memoryMib() * count, one.accelerators() * count);
+  }
+
+  /** Which runs may be stopped for a demand, by priority and by the customers' guarantees. */
+  private final class Guarantees {
+
+    private final CustomerId claimant;
+    private final boolean isWithin;
+    private final Map<CustomerId, Integer> used = new HashMap<>();
+
+    Guarantees(Demand demand) {
+      this.claimant = demand.job().job().customer();
+      for (RunControl run : state.runs.values()) {
+        if (priorityOf(run.job) == URGENT && run.job.job().customer() != null) {
+          used.merge(run.job.job().customer(), run.spec.task().accelerators(), Integer::sum);
+        }
+      }
+      int wanted = demand.spec().task().accelerators() * demand.tasks().size();
+      int guaranteed = claimant == null ? 0 : state.ledger.configuration().guaranteedTo(claimant);
+      this.isWithin = used.getOrDefault(claimant, 0) + wanted <= guaranteed;
+    }
+
+    boolean mayStop(RunControl run) {
+      if (priorityOf(run.job) > URGENT) {
+        return true;
+      }
+      CustomerId owner = run.job.job().customer();
+      if (!isWithin || owner == null || owner.equals(claimant)) {
+        return false;
+      }
+      int guaranteed = state.ledger.configuration().guaranteedTo(owner);
+      return used.getOrDefault(owner, 0) - guaranteed >= widthOf(run);
+    }
+
+    private int widthOf(RunControl run) {
+      return stoppedWith(run).stream().mapToInt(each -> each.spec.task().accelerators()).sum();
+    }
+
+    private int priorityOf(JobEntry job) {
+      return state
+          .ledger
+          .configuration()
+          .queue(job.job().queue())
+          .map(QueueSpec::priority)
+          .orElse(Integer.MAX_VALUE);
+    }
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunControl.java
@@ -0,0 +1,113 @@
+package org.primrosegauge.core.scope.impl;
+
+import org.primrosegauge.core.scope.JobEntry;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.StepSpec;
+
+/**
+ * What the leader knows of a run beyond the ledger: how far its start got and how it goes on.
+ *
+ * <p>Not thread-safe; lives as long as the leader's term or the run.
+ */
+public final class RunControl {
+
+  /** How far a run is. */
+  public enum Phase {
+    /** The placement is proposed to the log. */
+    PROPOSED,
+    /** The order to start was sent and not answered. */
+    STARTING,
+    /** The worker has it. */
+    RUNNING,
+    /** Its start is in doubt, so it was ordered to stop. */
+    IN_DOUBT,
+    /** An earlier leader placed it and the worker has not been asked yet. */
+    INHERITED
+  }
+
+  final RunId id;
+  final WorkerSession worker;
+  final JobEntry job;
+  final StepSpec spec;
+  final long placedMillis;
+  Phase phase;
+  long startDeadline;
+  int startTries;
+  boolean startInFlight;
+  boolean startUnanswered;
+  boolean stopWanted;
+  boolean stopInFlight;
+  long nextStopMillis;
+  long barredMillis = Long.MAX_VALUE;
+  boolean endProposed;
+  long runningSinceMillis;
+  int percent;
+  long progressMillis;
+  String checkpoint = "";
+  long checkpointMillis;
+
+  RunControl(
+      RunId id, WorkerSession worker, JobEntry job, StepSpec spec, Phase phase, long nowMillis) {
+    this.id = id;
+    this.worker = worker;
+    this.job = job;
+    this.spec = spec;
+    this.phase = phase;
+    this.placedMillis = nowMillis;
+    this.runningSinceMillis = nowMillis;
+    this.progressMillis = nowMillis;
+    this.checkpointMillis = nowMillis;
+  }
+
+  boolean isRunning() {
+    return phase == Phase.RUNNING;
+  }
+
+  /** Tells whether the worker has been told of it. */
+  boolean isOrdered() {
+    return phase != Phase.PROPOSED;
+  }
+
+  /** Notes that the worker has it. */
+  void running(long nowMillis) {
+    if (phase != Phase.RUNNING) {
+      phase = Phase.RUNNING;
+      runningSinceMillis = nowMillis;
+      progressMillis = nowMillis;
+      checkpointMillis = nowMillis;
+    }
+  }
+
+  /** Notes progress and checkpoint as the worker reports them. */
+  void progress(int newPercent, String newCheckpoint, long nowMillis) {
+    if (newPercent != percent) {
+      percent = newPercent;
+      progressMillis = nowMillis;
+    }
+    if (!newCheckpoint.isEmpty() && !newCheckpoint.equals(checkpoint)) {
+      checkpoint = newCheckpoint;
+      checkpointMillis = nowMillis;
+    }
+  }
+
+  /** Returns the processor time that would be lost by a stop now, with accelerators weighed in. */
+  double unsavedCoreSeconds(long nowMillis) {
+    long since = spec.checkpoints() ? checkpointMillis : runningSinceMillis;
+    return weight() * Math.max(0, nowMillis - since) / 1_000.0;
+  }
+
+  /** Returns the cores that the run takes, with each accelerator counted as several. */
+  double weight() {
+    return spec.task().milliCores() / 1_000.0
+        + WorkerSession.CORES_PER_ACCELERATOR * spec.task().accelerators();
+  }
+
+  /** Returns an estimate of the time that the run still needs, in milliseconds. */
+  long remainingMillis(long nowMillis) {
+    long elapsed = nowMillis - runningSinceMillis;
+    if (percent >= 5 && elapsed > 0) {
+      return elapsed * (100 - percent) / percent;
+    }
+    return Math.max(0, spec.estimatedMillis() - elapsed);
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunWatch.java
@@ -0,0 +1,107 @@
+package org.primrosegauge.core.scope.impl;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.primrosegauge.core.scope.Present;
+import org.primrosegauge.core.scope.StepKey;
+import org.primrosegauge.core.scope.StepRecord;
+
+/**
+ * Watches runs that should be moved: those on workers that leave, and those that stand still.
+ *
+ * <p>Answers workers that are taken away with notice and workers on which tasks hang while their
+ * heartbeats go on.
+ *
+ * <p>Not thread-safe.
+ */
+final class RunWatch {
+
+  private static final int COMPLETE_PERCENT = 100;
+
+  private final ScopeState state;
+  private final RunOrders orders;
+
+  RunWatch(ScopeState state, RunOrders orders) {
+    this.state = state;
+    this.orders = orders;
+  }
+
+  /** Moves the work off a worker that leaves, where it cannot end there in time. */
+  void drain(WorkerSession worker, Present present) {
+    for (RunControl run : List.copyOf(worker.runs.values())) {
+      long end = present.millis() + run.remainingMillis(present.millis());
+      boolean isSaved = run.spec.checkpoints() && run.isRunning();
+      if (isSaved && end > worker.drainEndMillis) {
+        stopTogether(run, "worker leaves", present);
+      }
+    }
+  }
+
+  /** Looks for runs that have not moved on for too long. */
+  void check(Present present) {
+    stopStrays(present);
+    Set<StepKey> stalledGangs = new HashSet<>();
+    for (RunControl run : List.copyOf(state.runs.values())) {
+      if (!isStalled(run, present.millis())) {
+        continue;
+      }
+      if (run.spec.gang()) {
+        stalledGangs.add(run.id.task().stepKey());
+      } else {
+        orders.setAside(run.worker, "a run stands still", present.millis());
+        orders.stop(run, "no progress", present);
+      }
+    }
+    stalledGangs.forEach(step -> checkGang(step, present));
+  }
+
+  /** Stops runs of jobs that are over and what is left of gangs, as a new leader may find them. */
+  private void stopStrays(Present present) {
+    for (RunControl run : List.copyOf(state.runs.values())) {
+      StepRecord step = state.ledger.step(run.id.task().stepKey());
+      boolean isDone = step == null || step.isDone();
+      if (isDone && run.spec.gang()) {
+        // Its members end by themselves; the worker is about to list this end.
+        continue;
+      }
+      if (run.job.status().isFinal()) {
+        orders.stop(run, "job is over", present);
+      } else if (run.spec.gang() && run.isOrdered() && step.openTasks() < step.tasks().size()) {
+        orders.stop(run, "gang is not complete", present);
+      }
+    }
+  }
+
+  /** The member that is furthest behind points at the worker that does not work. */
+  private void checkGang(StepKey step, Present present) {
+    var members = state.runsOf(step);
+    boolean allStand = members.stream().allMatch(run -> isStalled(run, present.millis()));
+    if (!allStand) {
+      return;
+    }
+    int least = members.stream().mapToInt(run -> run.percent).min().orElse(0);
+    int most = members.stream().mapToInt(run -> run.percent).max().orElse(0);
+    for (RunControl run : members) {
+      if (run.percent == least && least < most) {
+        orders.setAside(run.worker, "a gang member stands still", present.millis());
+      }
+      orders.stop(run, "no progress", present);
+    }
+  }
+
+  private boolean isStalled(RunControl run, long nowMillis) {
+    return run.isRunning()
+        && !run.stopWanted
+        && !run.endProposed
+        && !run.spec.longRunning()
+        && run.percent < COMPLETE_PERCENT
+        && run.worker.lookFailures == 0
+        && nowMillis - run.progressMillis > state.settings.stallMillis();
+  }
+
+  private void stopTogether(RunControl run, String why, Present present) {
+    var together = run.spec.gang() ? state.runsOf(run.id.task().stepKey()) : List.of(run);
+    together.forEach(member -> orders.stop(member, why, present));
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -0,0 +1,355 @@
+package org.primrosegauge.core.scope.impl;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.scope.JobEntry;
+import org.primrosegauge.core.scope.LookAnswer;
+import org.primrosegauge.core.scope.Present;
+import org.primrosegauge.core.scope.RunEnd;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.RunOutcome;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeEvent;
+import org.primrosegauge.core.scope.ScopeEvent.Kind;
+import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.core.scope.StartAnswer;
+import org.primrosegauge.core.scope.StepRecord;
+import org.primrosegauge.core.scope.StopAnswer;
+import org.primrosegauge.core.scope.WorkerInfo;
+import org.primrosegauge.core.scope.WorkerKey;
+import org.primrosegauge.core.scope.WorkerRecord;
+import org.primrosegauge.core.scope.WorkerStatus;
+import org.primrosegauge.core.scope.cfg.ScopeSettings;
+
+/**
+ * Applies events to the state of a scope in one term, then plans what can start.
+ *
+ * <p>Not thread-safe; owned by one scheduler.
+ */
+public final class ScopeCore {
+
+  private static final long WATCH_MILLIS = 250;
+
+  private final ScopeState state;
+  private final RunOrders orders;
+  private final WorkerLooks looks;
+  private final RunWatch watch;
+  private final Planner planner;
+  private boolean inOffice;
+  private long nextWatchMillis;
+
+  /** Creates the core of a scheduler that does not lead. */
+  public ScopeCore(ScopeLedger ledger, ScopeSettings settings) {
+    state = new ScopeState(ledger, settings);
+    orders = new RunOrders(state);
+    looks = new WorkerLooks(state, orders);
+    watch = new RunWatch(state, orders);
+    planner = new Planner(state, orders);
+  }
+
+  // Office
+
+  /** Begins a term from what the ledger holds. */
+  public void takeOffice(Term term, Present present) {
+    state.clear();
+    state.term = term;
+    inOffice = true;
+    for (WorkerRecord worker : state.ledger.workers()) {
+      WorkerSession session = openSession(worker.info(), present);
+      for (RunId run : worker.openRuns()) {
+        inherit(run, session, present.millis());
+      }
+    }
+    state.dirty = true;
+  }
+
+  /** Ends the term. */
+  public void leaveOffice() {
+    inOffice = false;
+    state.clear();
+  }
+
+  /** Tells whether it decides. */
+  public boolean isInOffice() {
+    return inOffice;
+  }
+
+  private WorkerSession openSession(WorkerInfo info, Present present) {
+    long now = present.millis();
+    long silentSince = now - state.settings.silenceMillis() - 1;
+    WorkerSession session = new WorkerSession(info, now, silentSince);
+    long longest = state.settings.leaseMillis() * 100 / (100 - state.settings.clockErrorPercent());
+    session.lapseNotBeforeMillis = now + longest;
+    state.sessions.put(info.key(), session);
+    return session;
+  }
+
+  private void inherit(RunId id, WorkerSession worker, long nowMillis) {
+    JobEntry job = state.ledger.job(id.task().job()).orElseThrow();
+    RunControl run =
+        new RunControl(
+            id,
+            worker,
+            job,
+            job.job().steps().get(id.task().step()),
+            RunControl.Phase.INHERITED,
+            nowMillis);
+    state.add(run);
+  }
+
+  // Log
+
+  /** Acts on a command that the ledger has applied. */
+  public void applied(ScopeCommand command, Present present) {
+    state.dirty = true;
+    if (command instanceof ScopeCommand.Place place) {
+      orders.placed(place.placements(), present);
+    } else if (command instanceof ScopeCommand.RecordEnds ends) {
+      endsRecorded(ends, present);
+    } else if (command instanceof ScopeCommand.Cancel cancel) {
+      stopJob(cancel.job(), "cancelled", present);
+    } else if (command instanceof ScopeCommand.SeeWorker seen) {
+      dropOldSessions(present);
+      if (!state.sessions.containsKey(seen.worker().key())) {
+        openNewSession(seen.worker(), present);
+      }
+    } else if (command instanceof ScopeCommand.ForgetWorker) {
+      dropOldSessions(present);
+    }
+  }
+
+  private void openNewSession(WorkerInfo info, Present present) {
+    WorkerSession session = openSession(info, present);
+    session.lapseNotBeforeMillis = present.millis();
+    session.heardMillis = present.millis();
+    state.report(
+        ScopeEvent.of(
+            Kind.WORKER_SEEN,
+            info.key(),
+            "address=" + info.address() + " domain=" + info.domain() + " rack=" + info.rack()));
+  }
+
+  private void endsRecorded(ScopeCommand.RecordEnds command, Present present) {
+    Set<JobId> touched = new HashSet<>();
+    for (RunEnd end : command.ends()) {
+      RunControl run = state.runs.get(end.run());
+      if (run != null && run.worker.info.key().equals(command.worker())) {
+        ended(run, end, present);
+        touched.add(end.run().task().job());
+      }
+    }
+    WorkerSession worker = state.sessions.get(command.worker());
+    if (worker != null && command.lastEnd() > 0) {
+      orders.lookSoon(worker, present.millis());
+    }
+    for (JobId id : touched) {
+      boolean isOver = state.ledger.job(id).map(entry -> entry.status().isFinal()).orElse(true);
+      if (isOver) {
+        stopJob(id, "job is over", present);
+      }
+    }
+  }
+
+  private void ended(RunControl run, RunEnd end, Present present) {
+    state.remove(run);
+    state.report(
+        ScopeEvent.of(Kind.ENDED, run.id, run.worker.info.key(), "outcome=" + end.outcome()));
+    boolean isDone = end.outcome() == RunOutcome.DONE;
+    if (isDone) {
+      run.worker.succeeded();
+    } else if (end.outcome() == RunOutcome.FAILED) {
+      state
+          .failedOn
+          .computeIfAbsent(run.id.task().stepKey(), step -> new HashSet<>())
+          .add(run.worker.info.key());
+      if (run.worker.failed()) {
+        orders.setAside(run.worker, "its runs fail", present.millis());
+      }
+    }
+    if (run.spec.gang() && !isDone) {
+      stopGang(run, present);
+    }
+  }
+
+  /** A gang that has lost a member cannot go on. */
+  private void stopGang(RunControl lost, Present present) {
+    for (RunControl member : state.runsOf(lost.id.task().stepKey())) {
+      if (member.id.attempt() == lost.id.attempt()) {
+        orders.stop(member, "gang member " + lost.id.task().index() + " ended", present);
+      }
+    }
+  }
+
+  private void stopJob(JobId job, String why, Present present) {
+    for (RunControl run : List.copyOf(state.runs.values())) {
+      boolean isGangDone = isDoneElsewhere(run);
+      if (run.id.task().job().equals(job) && !isGangDone) {
+        orders.stop(run, why, present);
+      }
+    }
+  }
+
+  /** Members of a gang that is done end by themselves; their ends are about to be listed. */
+  private boolean isDoneElsewhere(RunControl run) {
+    StepRecord step = state.ledger.step(run.id.task().stepKey());
+    return run.spec.gang() && (step == null || step.isDone());
+  }
+
+  private void dropOldSessions(Present present) {
+    List<WorkerSession> old =
+        state.sessions.values().stream()
+            .filter(session -> state.ledger.worker(session.info.key()).isEmpty())
+            .toList();
+    for (WorkerSession session : old) {
+      state.sessions.remove(session.info.key());
+      state.report(
+          ScopeEvent.of(Kind.WORKER_GONE, session.info.key(), "runs=" + session.runs.size()));
+      for (RunControl run : new ArrayList<>(session.runs.values())) {
+        state.settleProposed(run.id);
+        ended(run, new RunEnd(run.id, RunOutcome.WORKER_LOST, ""), present);
+      }
+    }
+  }
+
+  /** Forgets a proposal that the log did not take; its cause is found again. */
+  public void proposalFailed(ScopeCommand command) {
+    state.dirty = true;
+    if (command instanceof ScopeCommand.Place place) {
+      orders.notPlaced(place.placements());
+    } else if (command instanceof ScopeCommand.RecordEnds ends) {
+      ends.ends().stream()
+          .map(end -> state.runs.get(end.run()))
+          .filter(run -> run != null)
+          .forEach(run -> run.endProposed = false);
+      WorkerSession worker = state.sessions.get(ends.worker());
+      if (worker != null) {
+        worker.proposedEnd = 0;
+      }
+    } else if (command instanceof ScopeCommand.ForgetWorker forget) {
+      WorkerSession worker = state.sessions.get(forget.worker());
+      if (worker != null) {
+        worker.left = false;
+      }
+    }
+  }
+
+  // Workers
+
+  /** Takes a heartbeat. */
+  public void workerReported(WorkerStatus status, Present present) {
+    WorkerKey key = status.info().key();
+    WorkerSession session = state.sessions.get(key);
+    if (session == null) {
+      if (!isOutdated(status.info())) {
+        state.propose(new ScopeCommand.SeeWorker(status.info()));
+      }
+      return;
+    }
+    if (status.sequence() <= session.sequence) {
+      return;
+    }
+    boolean wasDraining = session.draining;
+    boolean wasSilent = session.isSilent(present.millis(), state.settings.silenceMillis());
+    session.heard(status, present.millis());
+    if (session.draining && !wasDraining) {
+      String detail = "remaining_ms=" + status.drainRemainingMillis();
+      state.report(ScopeEvent.of(Kind.WORKER_DRAINING, key, detail));
+      watch.drain(session, present);
+    }
+    state.dirty |= wasSilent || wasDraining != session.draining;
+  }
+
+  /** A heartbeat of an earlier lifetime, or from an address that another worker has taken over. */
+  private boolean isOutdated(WorkerInfo info) {
+    return state.sessions.values().stream()
+        .map(session -> session.info)
+        .filter(known -> known.key().bornMillis() > info.key().bornMillis())
+        .anyMatch(
+            known ->
+                known.key().target().equals(info.key().target())
+                    || known.address().equals(info.address()));
+  }
+
+  /** Notes that a worker ends; runs still there are over once nothing listens or they lapse. */
+  public void workerLeft(TargetId target, Present present) {
+    for (WorkerSession session : List.copyOf(state.sessions.values())) {
+      if (session.info.key().target().equals(target)) {
+        session.draining = true;
+        session.drainEndMillis = present.millis();
+        if (session.runs.isEmpty()) {
+          orders.lifetimeOver(session);
+        } else {
+          orders.lookSoon(session, present.millis());
+        }
+      }
+    }
+  }
+
+  /** Takes the answer to an order to start. */
+  public void startAnswered(RunId run, StartAnswer answer, long clockMillis, Present present) {
+    orders.startAnswered(run, answer, clockMillis, present);
+  }
+
+  /** Takes the answer to an order to stop. */
+  public void stopAnswered(RunId run, StopAnswer answer, Present present) {
+    orders.stopAnswered(run, answer, present);
+  }
+
+  /** Takes the answer to a look. */
+  public void lookAnswered(WorkerKey worker, LookAnswer answer, Present present) {
+    WorkerSession session = state.sessions.get(worker);
+    if (session != null) {
+      looks.answered(session, answer, present);
+    }
+  }
+
+  // Time
+
+  /** Acts on what is due. */
+  public void tick(Present present) {
+    for (WorkerSession session : List.copyOf(state.sessions.values())) {
+      looks.lapseIfDue(session, present);
+    }
+    for (RunControl run : List.copyOf(state.runs.values())) {
+      orders.resend(run, present.millis());
+    }
+    if (present.millis() >= nextWatchMillis) {
+      nextWatchMillis = present.millis() + WATCH_MILLIS;
+      watch.check(present);
+    }
+  }
+
+  /** Ends the handling of an event: plans, looks where that is due, hands out the actions. */
+  public List<ScopeAction> finish(Present present) {
+    if (!inOffice) {
+      state.takeActions();
+      return List.of();
+    }
+    planner.run(present);
+    for (WorkerSession session : state.sessions.values()) {
+      looks.lookIfDue(session, present);
+    }
+    return state.takeActions();
+  }
+
+  /** Returns when {@link #tick} is due next. */
+  public long wakeAtMillis(Present present) {
+    if (!inOffice) {
+      return Long.MAX_VALUE;
+    }
+    long wake = state.runs.isEmpty() ? Long.MAX_VALUE : nextWatchMillis;
+    for (WorkerSession session : state.sessions.values()) {
+      boolean waits = !session.lookInFlight && session.nextLookMillis > present.millis();
+      if (waits && !session.runs.isEmpty()) {
+        wake = Math.min(wake, session.nextLookMillis);
+      }
+    }
+    return Math.min(wake, planner.wakeAtMillis(present));
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -0,0 +1,119 @@
+package org.primrosegauge.core.scope.impl;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeEvent;
+import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.core.scope.StepKey;
+import org.primrosegauge.core.scope.TaskKey;
+import org.primrosegauge.core.scope.WorkerKey;
+import org.primrosegauge.core.scope.cfg.ScopeSettings;
+
+/**
+ * State that the parts of a scope scheduler share during one term.
+ *
+ * <p>Not thread-safe.
+ */
+public final class ScopeState {
+
+  final ScopeLedger ledger;
+  final ScopeSettings settings;
+  final Map<WorkerKey, WorkerSession> sessions = new LinkedHashMap<>();
+  final Map<RunId, RunControl> runs = new LinkedHashMap<>();
+  final Map<StepKey, Reservation> reservations = new LinkedHashMap<>();
+  final Map<StepKey, Long> notBefore = new HashMap<>();
+  final Map<StepKey, Set<WorkerKey>> failedOn = new HashMap<>();
+  private final Map<StepKey, Integer> proposedRuns = new HashMap<>();
+  private final Set<TaskKey> proposedTasks = new HashSet<>();
+  private List<ScopeAction> actions = new ArrayList<>();
+  Term term = Term.NONE;
+  boolean dirty;
+
+  /** Creates the state of a scheduler that does not lead. */
+  public ScopeState(ScopeLedger ledger, ScopeSettings settings) {
+    this.ledger = ledger;
+    this.settings = settings;
+  }
+
+  void clear() {
+    sessions.clear();
+    runs.clear();
+    reservations.clear();
+    notBefore.clear();
+    failedOn.clear();
+    proposedRuns.clear();
+    proposedTasks.clear();
+    actions = new ArrayList<>();
+  }
+
+  // Proposed placements
+
+  boolean isProposed(StepKey step) {
+    return proposedRuns.containsKey(step);
+  }
+
+  boolean isProposed(TaskKey task) {
+    return proposedTasks.contains(task);
+  }
+
+  void addProposed(RunControl run) {
+    proposedTasks.add(run.id.task());
+    proposedRuns.merge(run.id.task().stepKey(), 1, Integer::sum);
+    add(run);
+  }
+
+  void settleProposed(RunId run) {
+    if (proposedTasks.remove(run.task())) {
+      proposedRuns.computeIfPresent(
+          run.task().stepKey(), (step, count) -> count == 1 ? null : count - 1);
+    }
+  }
+
+  // Runs
+
+  void add(RunControl run) {
+    runs.put(run.id, run);
+    run.worker.add(run);
+  }
+
+  void remove(RunControl run) {
+    runs.remove(run.id);
+    run.worker.remove(run);
+    dirty = true;
+  }
+
+  Collection<RunControl> runsOf(StepKey step) {
+    return runs.values().stream().filter(run -> run.id.task().stepKey().equals(step)).toList();
+  }
+
+  // Actions
+
+  void add(ScopeAction action) {
+    actions.add(action);
+  }
+
+  void propose(ScopeCommand command) {
+    actions.add(new ScopeAction.Propose(command));
+  }
+
+  void report(ScopeEvent event) {
+    actions.add(new ScopeAction.Report(event));
+  }
+
+  /** Returns the actions so far and forgets them. */
+  public List<ScopeAction> takeActions() {
+    List<ScopeAction> taken = actions;
+    actions = new ArrayList<>();
+    return taken;
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -0,0 +1,243 @@
+package org.primrosegauge.core.scope.impl;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.primrosegauge.core.scope.LookAnswer;
+import org.primrosegauge.core.scope.LookAnswer.EndedEntry;
+import org.primrosegauge.core.scope.LookAnswer.RunningEntry;
+import org.primrosegauge.core.scope.Present;
+import org.primrosegauge.core.scope.RunEnd;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.RunOutcome;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeEvent;
+import org.primrosegauge.core.scope.ScopeEvent.Kind;
+import org.primrosegauge.core.scope.WorkerRecord;
+
+/**
+ * Looks at workers that run something: renews their leases, learns progress and ends.
+ *
+ * <p>Answers workers that are cut off, crash or are met by a new leader: a run is over only when
+ * the worker says so, when its lifetime is over, or when its lease has run out on the slowest
+ * clock.
+ *
+ * <p>Not thread-safe.
+ */
+final class WorkerLooks {
+
+  private static final long LOOK_RETRY_MILLIS = 150;
+  private static final long COMMIT_WAIT_MILLIS = 250;
+  private static final long LAPSE_SLACK_MILLIS = 300;
+
+  private final ScopeState state;
+  private final RunOrders orders;
+  private final Map<RunId, Long> unknownRuns = new HashMap<>();
+
+  WorkerLooks(ScopeState state, RunOrders orders) {
+    this.state = state;
+    this.orders = orders;
+  }
+
+  // Sending
+
+  /** Looks at a worker if that is due. */
+  void lookIfDue(WorkerSession worker, Present present) {
+    long now = present.millis();
+    if (worker.lookInFlight || now < worker.nextLookMillis || !needsLook(worker)) {
+      return;
+    }
+    boolean hasRuns = worker.runs.values().stream().anyMatch(RunControl::isOrdered);
+    boolean knowsClock = worker.clockAtMillis != Long.MIN_VALUE;
+    boolean renews = hasRuns && knowsClock && !worker.left;
+    long deadline = renews ? worker.clockAt(now) + state.settings.leaseMillis() : 0;
+    worker.longestDeadline = Math.max(worker.longestDeadline, deadline);
+    boolean waits = hasRuns && worker.confirmed && worker.lookFailures == 0;
+    long lastEnd = recorded(worker);
+    worker.lookInFlight = true;
+    worker.lookSentMillis = now;
+    worker.toldEnd = Math.max(worker.toldEnd, lastEnd);
+    state.add(
+        new ScopeAction.Look(
+            worker.info.key(),
+            worker.info.address(),
+            deadline,
+            lastEnd,
+            waits ? state.settings.lookMillis() : 0,
+            state.term));
+  }
+
+  /** A worker that runs nothing is looked at only to confirm it and to let it forget its ends. */
+  private boolean needsLook(WorkerSession worker) {
+    return !worker.confirmed
+        || worker.lookFailures > 0
+        || worker.toldEnd < recorded(worker)
+        || worker.runs.values().stream().anyMatch(RunControl::isOrdered);
+  }
+
+  private long recorded(WorkerSession worker) {
+    return state.ledger.worker(worker.info.key()).map(WorkerRecord::lastEnd).orElse(0L);
+  }
+
+  // Answers
+
+  /** Takes the answer to a look. */
+  void answered(WorkerSession worker, LookAnswer answer, Present present) {
+    worker.lookInFlight = false;
+    switch (answer.kind()) {
+      case REPORT -> reported(worker, answer, present);
+      case OTHER_LIFETIME -> orders.lifetimeOver(worker);
+      case REFUSED -> refused(worker, present.millis());
+      default -> failed(worker, answer.kind(), present.millis());
+    }
+  }
+
+  private void refused(WorkerSession worker, long nowMillis) {
+    if (worker.draining || worker.left) {
+      // It said that it would end, and nothing listens any more.
+      orders.lifetimeOver(worker);
+    }
+    failed(worker, LookAnswer.Kind.REFUSED, nowMillis);
+  }
+
+  private void failed(WorkerSession worker, LookAnswer.Kind kind, long nowMillis) {
+    if (worker.lookFailures == 0) {
+      String detail = "answer=" + kind + " runs=" + worker.runs.size();
+      state.report(ScopeEvent.of(Kind.WORKER_SILENT, worker.info.key(), detail));
+    }
+    worker.lookFailures++;
+    worker.nextLookMillis = nowMillis + LOOK_RETRY_MILLIS;
+  }
+
+  private void reported(WorkerSession worker, LookAnswer answer, Present present) {
+    long now = present.millis();
+    if (worker.lookFailures > 0) {
+      worker.lookFailures = 0;
+      state.dirty = true;
+      state.report(ScopeEvent.of(Kind.WORKER_BACK, worker.info.key(), ""));
+    }
+    orders.contacted(worker, answer.clockMillis(), now);
+    if (!worker.confirmed) {
+      worker.confirmed = true;
+      state.dirty = true;
+      // An earlier leader may have granted a lease of full length just before this term.
+      worker.longestDeadline =
+          Math.max(worker.longestDeadline, answer.clockMillis() + state.settings.leaseMillis());
+    }
+    worker.nextLookMillis = now;
+    Set<RunId> ended = recordEnds(worker, answer.ended(), present);
+    Set<RunId> running = noteRunning(worker, answer.running(), present);
+    findMissing(worker, running, ended, present);
+  }
+
+  private Set<RunId> recordEnds(WorkerSession worker, List<EndedEntry> entries, Present present) {
+    Set<RunId> listed = new HashSet<>();
+    List<RunEnd> fresh = new ArrayList<>();
+    long known = Math.max(recorded(worker), worker.proposedEnd);
+    long last = known;
+    for (EndedEntry entry : entries) {
+      listed.add(entry.end().run());
+      if (entry.number() > known) {
+        last = Math.max(last, entry.number());
+        fresh.add(entry.end());
+        RunControl run = state.runs.get(entry.end().run());
+        if (run != null) {
+          run.endProposed = true;
+        }
+      }
+    }
+    if (last > known) {
+      worker.proposedEnd = last;
+      // Until the log has them the worker would answer at once with the same ends.
+      worker.nextLookMillis = present.millis() + COMMIT_WAIT_MILLIS;
+      state.propose(
+          new ScopeCommand.RecordEnds(worker.info.key(), last, fresh, present.wallMillis()));
+    }
+    return listed;
+  }
+
+  private Set<RunId> noteRunning(
+      WorkerSession worker, List<RunningEntry> entries, Present present) {
+    long now = present.millis();
+    Set<RunId> listed = new HashSet<>();
+    for (RunningEntry entry : entries) {
+      listed.add(entry.run());
+      RunControl run = state.runs.get(entry.run());
+      if (run == null || run.worker != worker) {
+        stopUnknown(worker, entry.run(), now);
+        continue;
+      }
+      if (run.phase == RunControl.Phase.STARTING || run.phase == RunControl.Phase.INHERITED) {
+        run.running(now);
+      }
+      run.progress(entry.percent(), entry.checkpoint(), now);
+    }
+    return listed;
+  }
+
+  /** A run that the ledger does not hold here any more was started late; it has no business. */
+  private void stopUnknown(WorkerSession worker, RunId run, long nowMillis) {
+    Long last = unknownRuns.get(run);
+    if (last != null && nowMillis - last < LOOK_RETRY_MILLIS) {
+      return;
+    }
+    unknownRuns.put(run, nowMillis);
+    state.report(ScopeEvent.of(Kind.UNKNOWN_RUN, run, worker.info.key(), ""));
+    state.add(new ScopeAction.Stop(worker.info.key(), worker.info.address(), run, state.term));
+  }
+
+  /** Finds runs that the worker should have and does not list. */
+  private void findMissing(
+      WorkerSession worker, Set<RunId> running, Set<RunId> ended, Present present) {
+    for (RunControl run : List.copyOf(worker.runs.values())) {
+      boolean isListed = running.contains(run.id) || ended.contains(run.id);
+      if (isListed || run.endProposed || !isSettled(run, worker)) {
+        continue;
+      }
+      boolean hadBegun = run.phase == RunControl.Phase.RUNNING;
+      if (hadBegun) {
+        orders.proposeEnd(run, RunOutcome.LAPSED, present);
+      } else {
+        orders.neverStarted(run, present);
+      }
+    }
+  }
+
+  /** Tells whether the look was sent after the run either began or could begin no more. */
+  private static boolean isSettled(RunControl run, WorkerSession worker) {
+    return switch (run.phase) {
+      case PROPOSED, STARTING -> false;
+      case INHERITED -> true;
+      case RUNNING -> run.runningSinceMillis < worker.lookSentMillis;
+      case IN_DOUBT -> run.barredMillis < worker.lookSentMillis;
+    };
+  }
+
+  // Time
+
+  /** Records that the lease on a worker that cannot be reached is over. */
+  void lapseIfDue(WorkerSession worker, Present present) {
+    if (worker.lookFailures == 0 || worker.runs.isEmpty()) {
+      return;
+    }
+    boolean isOver =
+        worker.hasLapsed(present.millis(), state.settings.clockErrorPercent(), LAPSE_SLACK_MILLIS);
+    if (!isOver) {
+      return;
+    }
+    List<RunEnd> ends = new ArrayList<>();
+    for (RunControl run : worker.runs.values()) {
+      if (run.isOrdered() && !run.endProposed) {
+        run.endProposed = true;
+        ends.add(new RunEnd(run.id, RunOutcome.LAPSED, run.checkpoint));
+      }
+    }
+    if (!ends.isEmpty()) {
+      state.propose(new ScopeCommand.RecordEnds(worker.info.key(), 0, ends, present.wallMillis()));
+    }
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -0,0 +1,155 @@
+package org.primrosegauge.core.scope.impl;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.StepKey;
+import org.primrosegauge.core.scope.WorkerInfo;
+import org.primrosegauge.core.scope.WorkerStatus;
+
+/**
+ * What the leader knows of one lifetime of a worker beyond the ledger.
+ *
+ * <p>Not thread-safe; lives as long as the leader's term or the worker.
+ */
+public final class WorkerSession {
+
+  /** Cores that an accelerator counts as when work is weighed. */
+  static final int CORES_PER_ACCELERATOR = 8;
+
+  private static final int FAILURES_BEFORE_ASIDE = 2;
+  private static final long PERCENT = 100;
+
+  final WorkerInfo info;
+  final Map<RunId, RunControl> runs = new LinkedHashMap<>();
+  private Resources used = Resources.NONE;
+  private Resources reserved = Resources.NONE;
+  long sequence = -1;
+  boolean draining;
+  long drainEndMillis;
+  boolean left;
+  boolean confirmed;
+  boolean lookInFlight;
+  long lookSentMillis;
+  long nextLookMillis;
+  int lookFailures;
+  long heardMillis;
+  long answeredMillis;
+  long clockMillis;
+  long clockAtMillis = Long.MIN_VALUE;
+  long longestDeadline;
+  long lapseNotBeforeMillis;
+  long proposedEnd;
+  long toldEnd;
+  long asideUntilMillis;
+  private int failures;
+
+  WorkerSession(WorkerInfo info, long nowMillis, long silentSinceMillis) {
+    this.info = info;
+    this.heardMillis = silentSinceMillis;
+    this.answeredMillis = nowMillis;
+  }
+
+  // Room
+
+  Resources free() {
+    Resources capacity = info.capacity();
+    return new Resources(
+        Math.max(0, capacity.milliCores() - used.milliCores() - reserved.milliCores()),
+        Math.max(0, capacity.memoryMib() - used.memoryMib() - reserved.memoryMib()),
+        Math.max(0, capacity.accelerators() - used.accelerators() - reserved.accelerators()));
+  }
+
+  boolean fits(Resources need) {
+    return need.plus(used).plus(reserved).fitsIn(info.capacity());
+  }
+
+  /** Tells whether a task would fit if some of what runs here had ended. */
+  boolean fitsWithout(Resources need, Resources ended) {
+    return need.plus(used).plus(reserved).fitsIn(info.capacity().plus(ended));
+  }
+
+  void add(RunControl run) {
+    runs.put(run.id, run);
+    used = used.plus(run.spec.task());
+  }
+
+  void remove(RunControl run) {
+    if (runs.remove(run.id) != null) {
+      used = used.minus(run.spec.task());
+    }
+  }
+
+  void reserve(Resources need) {
+    reserved = reserved.plus(need);
+  }
+
+  void release(Resources need) {
+    reserved = reserved.minus(need);
+  }
+
+  long tasksOf(StepKey step) {
+    return runs.keySet().stream().filter(run -> run.task().stepKey().equals(step)).count();
+  }
+
+  // Contact
+
+  void heard(WorkerStatus status, long nowMillis) {
+    sequence = status.sequence();
+    heardMillis = nowMillis;
+    if (status.isDraining()) {
+      draining = true;
+      drainEndMillis = nowMillis + status.drainRemainingMillis();
+    } else {
+      draining = false;
+    }
+    if (clockAtMillis == Long.MIN_VALUE) {
+      noteClock(status.clockMillis(), nowMillis);
+    }
+  }
+
+  void noteClock(long clock, long nowMillis) {
+    clockMillis = clock;
+    clockAtMillis = nowMillis;
+  }
+
+  /** Returns an estimate of the worker's clock. */
+  long clockAt(long nowMillis) {
+    return clockMillis + (nowMillis - clockAtMillis);
+  }
+
+  /** Tells whether the lease of all that runs here is over on the slowest clock allowed. */
+  boolean hasLapsed(long nowMillis, int clockErrorPercent, long slackMillis) {
+    if (!confirmed && nowMillis < lapseNotBeforeMillis) {
+      return false;
+    }
+    if (clockAtMillis == Long.MIN_VALUE) {
+      return nowMillis >= lapseNotBeforeMillis;
+    }
+    long least =
+        clockMillis + (nowMillis - clockAtMillis) * (PERCENT - clockErrorPercent) / PERCENT;
+    return least > longestDeadline + slackMillis && nowMillis >= lapseNotBeforeMillis;
+  }
+
+  boolean isSilent(long nowMillis, long silenceMillis) {
+    return nowMillis - Math.max(heardMillis, confirmed ? answeredMillis : heardMillis)
+        > silenceMillis;
+  }
+
+  // Trust
+
+  /** Counts a failed run; returns whether the worker is to be set aside. */
+  boolean failed() {
+    failures++;
+    return failures >= FAILURES_BEFORE_ASIDE;
+  }
+
+  void succeeded() {
+    failures = 0;
+  }
+
+  int failures() {
+    return failures;
+  }
+}
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/http/HttpExchange.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/http/HttpExchange.java
@@ -182,15 +182,16 @@
   }
 
   /**
-   * Answers with the error that an operation ended with. For operations that run no caller's work:
-   * the answer says {@code not-run}.
+   * Answers with the error that an operation ended with. The answer says {@code not-run} unless the
+   * error leaves open whether the operation was carried out.
    *
    * @since 0.1
    */
   public Mono<Void> sendError(Throwable error) {
     Throwable cause = reactor.core.Exceptions.unwrap(error);
     if (cause instanceof PrimrosegaugeException known) {
-      return sendProblem(ProblemDetails.of(known, Execution.NOT_RUN, retryAfter(known.kind())));
+      return sendProblem(
+          ProblemDetails.of(known, executionOf(known.kind()), retryAfter(known.kind())));
     }
     LOG.error("request {} {} failed", request.method(), request.uri(), cause);
     return sendProblem(
@@ -216,6 +217,13 @@
 
   // Internals
 
+  private static Execution executionOf(ErrorKind kind) {
+    return switch (kind) {
+      case OUTCOME_UNKNOWN, INTERNAL, TARGET_FAILED -> Execution.UNKNOWN;
+      default -> Execution.NOT_RUN;
+    };
+  }
+
   private static Long retryAfter(ErrorKind kind) {
     return kind == ErrorKind.UNAVAILABLE || kind == ErrorKind.OVER_LIMIT ? MILLIS_PER_SECOND : null;
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryService.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/RegistryService.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -148,7 +149,12 @@
    */
   public Mono<RegistryResult> propose(RegistryCommand command) {
     byte[] bytes = codec.write(command);
-    return untilLeaderAnswers(Mono.defer(() -> proposeOnce(bytes, command)));
+    AtomicBoolean maybeApplied = new AtomicBoolean();
+    Mono<RegistryResult> once =
+        Mono.defer(() -> proposeOnce(bytes, command))
+            .doOnError(error -> maybeApplied.compareAndSet(false, isUnknown(error)));
+    return untilLeaderAnswers(once)
+        .onErrorMap(error -> maybeApplied.get() ? ReplicatedLog.outcomeUnknown() : error);
   }
 
   /**
@@ -283,7 +289,7 @@
     }
     if (answer instanceof RegistryMessage.NotApplied refused) {
       likelyLeader = asked.equals(refused.leader()) ? null : refused.leader();
-      return Mono.error(refused.outcomeUnknown() ? LogDuty.outcomeUnknown() : noQuorum());
+      return Mono.error(refused.outcomeUnknown() ? ReplicatedLog.outcomeUnknown() : noQuorum());
     }
     return Mono.error(noQuorum());
   }
@@ -335,12 +341,14 @@
   /** Tries again while no leader answers, for a bounded time. */
   private static <T> Mono<T> untilLeaderAnswers(Mono<T> once) {
     return once.retryWhen(
-            Retry.fixedDelay(Long.MAX_VALUE, RETRY_PAUSE).filter(RegistryService::wasNotProposed))
+            Retry.fixedDelay(Long.MAX_VALUE, RETRY_PAUSE).filter(RegistryService::mayBeSentAgain))
         .timeout(PROPOSAL_TIMEOUT, Mono.error(RegistryService::noQuorum));
   }
 
-  private static boolean wasNotProposed(Throwable error) {
-    return error instanceof PrimrosegaugeException known && known.kind() == ErrorKind.UNAVAILABLE;
+  /** Commands carry request ids, so one that may have been applied can be sent again, too. */
+  private static boolean mayBeSentAgain(Throwable error) {
+    return error instanceof PrimrosegaugeException known
+        && (known.kind() == ErrorKind.UNAVAILABLE || known.kind() == ErrorKind.OUTCOME_UNKNOWN);
   }
 
   private static boolean isUnknown(Throwable error) {
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -0,0 +1,433 @@
+package org.primrosegauge.node.log;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.primrosegauge.core.ErrorKind;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.StorageException;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.log.LogAction;
+import org.primrosegauge.core.log.LogEntry;
+import org.primrosegauge.core.log.LogIndex;
+import org.primrosegauge.core.log.LogMessage;
+import org.primrosegauge.core.log.LogReplica;
+import org.primrosegauge.core.log.Membership;
+import org.primrosegauge.core.log.MembershipChange;
+import org.primrosegauge.core.log.RecoveredLog;
+import org.primrosegauge.core.log.ReplicaId;
+import org.primrosegauge.core.log.cfg.LogSettings;
+import org.primrosegauge.node.duty.Duty;
+import org.primrosegauge.node.duty.MonotonicClock;
+import org.primrosegauge.node.transport.PeerTransport;
+import org.primrosegauge.wire.WireException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/**
+ * A replica of the log in this process: one thread runs the replica and the state that it is
+ * applied to, a second one writes the journal and syncs it. Writes that wait while a sync runs
+ * share the next one.
+ *
+ * <p>All state is touched on the log thread only. A failed write or sync ends the process's part in
+ * the log for good: nothing is written again and nothing more is acknowledged.
+ *
+ * <p>Life-cycle: {@link #start}, {@link #close}.
+ *
+ * @param <R> what applying a command results in
+ * @since 0.2
+ */
+public final class ReplicatedLog<R> implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(ReplicatedLog.class);
+  private static final long TICK_MILLIS = 50;
+  private static final long JOURNAL_TICK_MILLIS = 250;
+  private static final long SNAPSHOT_INTERVAL_ENTRIES = 2_000;
+
+  /**
+   * What a replica needs of its process.
+   *
+   * @param storage durable storage
+   * @param random source of election time-outs
+   * @param clock source of the present
+   * @param transport connections to the other replicas
+   * @param onStorageFailure told once when the storage becomes unusable
+   * @since 0.2
+   */
+  public record Ports(
+      LogStorage storage,
+      RandomGenerator random,
+      MonotonicClock clock,
+      PeerTransport transport,
+      Consumer<StorageException> onStorageFailure) {}
+
+  private record Pending<R>(Term term, MonoSink<R> sink) {}
+
+  private final Ports ports;
+  private final AppliedState<R> state;
+  private final Duty duty;
+  private final Duty journal;
+  private final LogReplica replica;
+  private final Map<LogIndex, Pending<R>> pending = new TreeMap<>();
+  private final List<MonoSink<R>> proposing = new ArrayList<>();
+  private final Queue<LogAction> waitingActions = new ArrayDeque<>();
+  private boolean performing;
+  private long applied;
+  private long snapshotAt;
+  private volatile InstanceId publishedLeader;
+
+  // Touched by the journal thread only.
+  private final List<LogAction.Persist> unsynced = new ArrayList<>();
+  private boolean storageFailed;
+
+  /**
+   * Creates the replica from what the storage holds.
+   *
+   * @param ringCapacity most tasks that wait for either thread
+   * @throws StorageException when the storage cannot be recovered
+   * @since 0.2
+   */
+  public ReplicatedLog(LogSettings settings, int ringCapacity, Ports ports, AppliedState<R> state)
+      throws StorageException {
+    this.ports = ports;
+    this.state = state;
+    this.duty = new Duty("log", ringCapacity, TICK_MILLIS, ports.clock(), this::tick);
+    this.journal =
+        new Duty("journal", ringCapacity, JOURNAL_TICK_MILLIS, ports.clock(), now -> syncBatch());
+    RecoveredLog recovered = ports.storage().recover();
+    restoreFrom(recovered);
+    this.replica = new LogReplica(settings, recovered, ports.random(), now());
+    ports
+        .transport()
+        .onTell(
+            LogMessage.class,
+            (from, message) -> duty.offer(() -> perform(replica.received(from, message, now()))));
+  }
+
+  // Life-cycle
+
+  /**
+   * Starts both threads.
+   *
+   * @since 0.2
+   */
+  public void start() {
+    journal.start();
+    duty.start();
+    duty.offer(() -> state.changed(applied));
+  }
+
+  @Override
+  public void close() {
+    duty.close();
+    journal.close();
+    ports.storage().close();
+  }
+
+  // Accessors; may be called from any thread
+
+  /**
+   * Returns the leader, as known; null when none is known.
+   *
+   * @since 0.2
+   */
+  public InstanceId leader() {
+    return publishedLeader;
+  }
+
+  /**
+   * Returns the thread that owns the state.
+   *
+   * @since 0.2
+   */
+  public Duty duty() {
+    return duty;
+  }
+
+  // Accessors for the log thread
+
+  /**
+   * Returns this replica's id.
+   *
+   * @since 0.2
+   */
+  public ReplicaId id() {
+    return replica.id();
+  }
+
+  /**
+   * Returns the present term.
+   *
+   * @since 0.2
+   */
+  public Term term() {
+    return replica.term();
+  }
+
+  /**
+   * Returns the members of the log.
+   *
+   * @since 0.2
+   */
+  public Membership membership() {
+    return replica.membership();
+  }
+
+  /**
+   * Tells whether this replica leads under a valid lease and its state holds everything that is
+   * committed, so that it may answer for all.
+   *
+   * @since 0.2
+   */
+  public boolean isAuthoritative(long nowMillis) {
+    return replica.readIndex(nowMillis).map(index -> index.number() <= applied).orElse(false);
+  }
+
+  /**
+   * Tells whether this replica leads.
+   *
+   * @since 0.2
+   */
+  public boolean isLeader() {
+    return replica.isLeader();
+  }
+
+  // Main API; may be called from any thread
+
+  /**
+   * Proposes a command at this replica.
+   *
+   * @return the result once it is committed and applied; an error of kind UNAVAILABLE when nothing
+   *     was proposed; OUTCOME_UNKNOWN when leadership was lost meanwhile
+   * @since 0.2
+   */
+  public Mono<R> propose(byte[] command) {
+    return Mono.create(
+        sink -> {
+          if (duty.isCurrentThread()) {
+            proposeNow(command, sink);
+          } else if (!duty.offer(() -> proposeNow(command, sink))) {
+            sink.error(notLeader());
+          }
+        });
+  }
+
+  /**
+   * Runs a task on the log thread once this replica is known to hold everything that is committed.
+   *
+   * @return the task's result; an error of kind UNAVAILABLE when this replica may not answer
+   * @since 0.2
+   */
+  public <T> Mono<T> read(java.util.concurrent.Callable<T> task) {
+    return duty.ask(
+        () -> {
+          if (!isAuthoritative(now())) {
+            throw notLeader();
+          }
+          return task.call();
+        });
+  }
+
+  /**
+   * Changes the membership, if the replica leads and the change is safe now.
+   *
+   * @since 0.2
+   */
+  public void changeMembership(MembershipChange change) {
+    duty.offer(
+        () -> {
+          // A change is retried by its caller, so nobody waits for this proposal.
+          proposing.add(null);
+          perform(replica.changeMembership(change, now()));
+        });
+  }
+
+  // Log thread
+
+  private long now() {
+    return ports.clock().nowMillis();
+  }
+
+  private void tick(long nowMillis) {
+    perform(replica.tick(nowMillis));
+    state.tick(nowMillis);
+  }
+
+  private void proposeNow(byte[] command, MonoSink<R> sink) {
+    proposing.add(sink);
+    perform(replica.propose(command, now()));
+  }
+
+  /**
+   * Carries actions out in their order. What the state proposes while it applies an entry follows
+   * after them: a later write must not overtake an earlier one.
+   */
+  private void perform(List<LogAction> actions) {
+    waitingActions.addAll(actions);
+    if (performing) {
+      return;
+    }
+    performing = true;
+    try {
+      LogAction next;
+      while ((next = waitingActions.poll()) != null) {
+        perform(next);
+      }
+    } finally {
+      performing = false;
+    }
+  }
+
+  private void perform(LogAction action) {
+    if (action instanceof LogAction.Send send) {
+      ports.transport().tell(send.to(), send.message());
+    } else if (action instanceof LogAction.Persist persist) {
+      persist(persist);
+    } else if (action instanceof LogAction.Commit commit) {
+      commit.entries().forEach(this::apply);
+      state.changed(applied);
+      snapshotIfDue();
+    } else if (action instanceof LogAction.InstallSnapshot install) {
+      restore(install.snapshot().state());
+      applied = install.snapshot().index().number();
+      state.changed(applied);
+    } else if (action instanceof LogAction.LeaderChanged change) {
+      leaderChanged(change);
+    } else if (action instanceof LogAction.ProposalAccepted accepted) {
+      MonoSink<R> sink = proposing.remove(0);
+      if (sink != null) {
+        pending.put(accepted.first(), new Pending<>(accepted.term(), sink));
+      }
+    } else if (action instanceof LogAction.ProposalRefused refused) {
+      MonoSink<R> sink = proposing.remove(0);
+      LOG.debug("proposal refused: {}", refused.reason());
+      if (sink != null) {
+        sink.error(notLeader());
+      }
+    }
+  }
+
+  private void apply(LogEntry entry) {
+    applied = entry.index().number();
+    R result = null;
+    if (entry.isCommand()) {
+      try {
+        result = state.apply(entry);
+      } catch (WireException e) {
+        LOG.error("entry {} of the log cannot be read and is skipped", entry.index(), e);
+      }
+    }
+    Pending<R> waiting = pending.remove(entry.index());
+    if (waiting == null) {
+      return;
+    }
+    if (result != null && waiting.term().equals(entry.term())) {
+      waiting.sink().success(result);
+    } else {
+      waiting.sink().error(outcomeUnknown());
+    }
+  }
+
+  private void leaderChanged(LogAction.LeaderChanged change) {
+    publishedLeader = change.leader();
+    LOG.info("leader of the replicated log is {} in term {}", change.leader(), change.term());
+    if (!replica.isLeader()) {
+      List<Pending<R>> lost = List.copyOf(pending.values());
+      pending.clear();
+      lost.forEach(waiting -> waiting.sink().error(outcomeUnknown()));
+    }
+    state.leaderChanged(change.leader(), change.term());
+  }
+
+  private void snapshotIfDue() {
+    if (applied - snapshotAt >= SNAPSHOT_INTERVAL_ENTRIES) {
+      snapshotAt = applied;
+      byte[] bytes = state.snapshot();
+      perform(replica.snapshotTaken(new LogIndex(applied), bytes, now()));
+    }
+  }
+
+  private void restoreFrom(RecoveredLog recovered) {
+    if (recovered.snapshot() != null) {
+      restore(recovered.snapshot().state());
+      applied = recovered.snapshot().index().number();
+      snapshotAt = applied;
+    }
+  }
+
+  private void restore(byte[] bytes) {
+    try {
+      state.restore(bytes);
+    } catch (WireException e) {
+      throw new IllegalStateException("the snapshot of the state cannot be read", e);
+    }
+  }
+
+  // Journal thread
+
+  private void persist(LogAction.Persist write) {
+    if (!journal.offer(() -> append(write))) {
+      ports
+          .onStorageFailure()
+          .accept(new StorageException("the journal ring is full", "use a faster disk", ""));
+    }
+  }
+
+  private void append(LogAction.Persist write) {
+    if (storageFailed) {
+      return;
+    }
+    try {
+      ports.storage().write(write);
+      unsynced.add(write);
+      // Writes that are offered while this one syncs wait in the ring and share the next sync.
+      journal.offer(this::syncBatch);
+    } catch (StorageException e) {
+      fail(e);
+    }
+  }
+
+  private void syncBatch() {
+    if (unsynced.isEmpty() || storageFailed) {
+      return;
+    }
+    try {
+      ports.storage().sync();
+    } catch (StorageException e) {
+      fail(e);
+      return;
+    }
+    long last = unsynced.get(unsynced.size() - 1).write();
+    unsynced.clear();
+    duty.offer(() -> perform(replica.synced(last, now())));
+  }
+
+  private void fail(StorageException error) {
+    storageFailed = true;
+    LOG.error("the storage of the log is unusable from now on", error);
+    ports.onStorageFailure().accept(error);
+  }
+
+  // Errors
+
+  static PrimrosegaugeException notLeader() {
+    return new PrimrosegaugeException(
+        ErrorKind.UNAVAILABLE, "this instance does not lead the log", "ask the leader", "");
+  }
+
+  static PrimrosegaugeException outcomeUnknown() {
+    return new PrimrosegaugeException(
+        ErrorKind.OUTCOME_UNKNOWN,
+        "the leader changed before the outcome was known",
+        "send the same request id again: it gets the first answer",
+        "");
+  }
+}
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -0,0 +1,459 @@
+package org.primrosegauge.node.scope;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.primrosegauge.core.ErrorKind;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.InvalidInputException;
+import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.StorageException;
+import org.primrosegauge.core.log.LogEntry;
+import org.primrosegauge.core.log.Member;
+import org.primrosegauge.core.log.MembershipChange;
+import org.primrosegauge.core.log.cfg.LogSettings;
+import org.primrosegauge.core.scope.JobEntry;
+import org.primrosegauge.core.scope.LookAnswer;
+import org.primrosegauge.core.scope.Present;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.core.scope.ScopeResult;
+import org.primrosegauge.core.scope.ScopeScheduler;
+import org.primrosegauge.core.scope.ScopeSnapshot;
+import org.primrosegauge.core.scope.StartAnswer;
+import org.primrosegauge.core.scope.StopAnswer;
+import org.primrosegauge.core.scope.WorkerKey;
+import org.primrosegauge.node.duty.MonotonicClock;
+import org.primrosegauge.node.log.AppliedState;
+import org.primrosegauge.node.log.LogStorage;
+import org.primrosegauge.node.log.ReplicatedLog;
+import org.primrosegauge.node.log.SealedCodec;
+import org.primrosegauge.node.scope.ScopeMessage.Answer;
+import org.primrosegauge.node.scope.ScopeMessage.Question;
+import org.primrosegauge.node.transport.PeerTransport;
+import org.primrosegauge.wire.WireException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+
+/**
+ * The replicated ledger of a scope at an instance with a disk and, while it leads, the scheduler.
+ *
+ * <p>Ledger and scheduler are touched on the log thread only. Questions may be asked from any
+ * thread.
+ *
+ * <p>Life-cycle: {@link #start}, {@link #close}.
+ *
+ * @since 0.2
+ */
+public final class ScopeDuty implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(ScopeDuty.class);
+  private static final int RING_CAPACITY = 8_192;
+
+  private final MonotonicClock clock;
+  private final MonotonicClock wallClock;
+  private final WorkerOrders workers;
+  private final ScopeEventLog events;
+  private final SealedCodec codec = new SealedCodec(ScopeCommand.class);
+  private final ScopeLedger ledger;
+  private final ScopeScheduler scheduler;
+  private final ScopeCalls calls;
+  private final ReplicatedLog<ScopeResult> log;
+
+  /**
+   * What the duty needs of its process.
+   *
+   * @param storage durable storage
+   * @param random source of election time-outs
+   * @param clock source of the monotonic present
+   * @param wallClock source of the time of day, in milliseconds since 1970
+   * @param transport connections to other instances
+   * @param workers port to the workers
+   * @param events log of decisions
+   * @param onStorageFailure told once when the storage becomes unusable
+   * @since 0.2
+   */
+  public record Ports(
+      LogStorage storage,
+      RandomGenerator random,
+      MonotonicClock clock,
+      MonotonicClock wallClock,
+      PeerTransport transport,
+      WorkerOrders workers,
+      ScopeEventLog events,
+      Consumer<StorageException> onStorageFailure) {}
+
+  /**
+   * Creates the duty from what the storage holds.
+   *
+   * @throws StorageException when the storage cannot be recovered
+   * @since 0.2
+   */
+  public ScopeDuty(LogSettings settings, ScopeLedger ledger, ScopeScheduler scheduler, Ports ports)
+      throws StorageException {
+    this.clock = ports.clock();
+    this.wallClock = ports.wallClock();
+    this.workers = ports.workers();
+    this.events = ports.events();
+    this.ledger = ledger;
+    this.scheduler = scheduler;
+    this.calls = new ScopeCalls(ledger);
+    this.log =
+        new ReplicatedLog<>(
+            settings,
+            RING_CAPACITY,
+            new ReplicatedLog.Ports(
+                ports.storage(),
+                ports.random(),
+                ports.clock(),
+                ports.transport(),
+                ports.onStorageFailure()),
+            new LedgerState());
+    ports.transport().onAsk(Question.class, (from, question) -> answer(question));
+    ports.transport().onTell(ScopeMessage.Join.class, (from, join) -> joinRequested(join));
+  }
+
+  // Life-cycle
+
+  /**
+   * Starts its threads.
+   *
+   * @since 0.2
+   */
+  public void start() {
+    log.start();
+  }
+
+  @Override
+  public void close() {
+    log.close();
+  }
+
+  // Accessors; may be called from any thread
+
+  /**
+   * Returns the leader, as known; null when none is known.
+   *
+   * @since 0.2
+   */
+  public InstanceId leader() {
+    return log.leader();
+  }
+
+  /**
+   * Asks to be admitted, if this replica is no member; the result is empty when it is.
+   *
+   * @since 0.2
+   */
+  public Mono<ScopeMessage.Join> joinIfNeeded() {
+    return log.duty()
+        .ask(
+            () -> {
+              boolean isMember =
+                  log.membership()
+                      .find(log.id().instance())
+                      .map(member -> member.replica().equals(log.id()))
+                      .orElse(false);
+              return isMember
+                  ? Optional.<ScopeMessage.Join>empty()
+                  : Optional.of(new ScopeMessage.Join(log.id()));
+            })
+        .flatMap(Mono::justOrEmpty);
+  }
+
+  // Main API; may be called from any thread
+
+  /**
+   * Answers a question. The result never fails.
+   *
+   * @since 0.2
+   */
+  public Mono<Answer> answer(Question question) {
+    return log.duty()
+        .ask(() -> answerNow(question))
+        .flatMap(later -> later)
+        .onErrorResume(error -> Mono.just(answerTo(error)));
+  }
+
+  private Answer answerTo(Throwable error) {
+    if (error instanceof PrimrosegaugeException known) {
+      return switch (known.kind()) {
+        case OUTCOME_UNKNOWN -> new ScopeMessage.Unknown();
+        case OVER_LIMIT -> new ScopeMessage.Refused(ScopeRefusal.OVERLOADED);
+        case INVALID_INPUT -> new ScopeMessage.Refused(ScopeRefusal.BAD_ID);
+        default -> new ScopeMessage.NotLeader(otherLeader());
+      };
+    }
+    LOG.error("a question failed", error);
+    return new ScopeMessage.Unknown();
+  }
+
+  private InstanceId otherLeader() {
+    InstanceId known = log.leader();
+    return log.id().instance().equals(known) ? null : known;
+  }
+
+  // Log thread: questions
+
+  private Mono<Answer> answerNow(Question question) throws InvalidInputException {
+    boolean leads = scheduler.isInOffice() && log.isAuthoritative(clock.nowMillis());
+    if (question instanceof ScopeMessage.AskLeader) {
+      List<InstanceId> members =
+          log.membership().members().stream().map(m -> m.replica().instance()).toList();
+      return Mono.just(new ScopeMessage.Leader(log.leader(), members, leads));
+    }
+    if (!leads) {
+      return Mono.just(new ScopeMessage.NotLeader(otherLeader()));
+    }
+    if (question instanceof ScopeMessage.Submit submit) {
+      return submit(submit);
+    } else if (question instanceof ScopeMessage.AskState ask) {
+      return Mono.just(state(ask.address()));
+    } else if (question instanceof ScopeMessage.Cancel cancel) {
+      return cancel(cancel.address());
+    } else if (question instanceof ScopeMessage.Configure configure) {
+      return configure(configure);
+    } else if (question instanceof ScopeMessage.AskConfiguration) {
+      return Mono.just(configuration());
+    } else if (question instanceof ScopeMessage.SwitchDomain order) {
+      events.operatorOrder("domain switch", order.domain() + " out=" + order.isOut());
+      return propose(new ScopeCommand.SwitchDomain(order.domain(), order.isOut()));
+    } else if (question instanceof ScopeMessage.Heartbeat heartbeat) {
+      Present present = present();
+      perform(scheduler.workerReported(heartbeat.status(), present), present);
+      return Mono.just(new ScopeMessage.Done());
+    }
+    ScopeMessage.WorkerLeft left = (ScopeMessage.WorkerLeft) question;
+    Present present = present();
+    perform(scheduler.workerLeft(left.target(), present), present);
+    return Mono.just(new ScopeMessage.Done());
+  }
+
+  private Mono<Answer> submit(ScopeMessage.Submit submit) throws InvalidInputException {
+    ScopeCalls.Check check = calls.check(submit.address());
+    if (check.refusal() != null) {
+      return refuse(check.refusal(), submit.address());
+    }
+    if (ledger.job(calls.accept(check.admitted(), submit.job(), 0).id()).isPresent()) {
+      return Mono.just(new ScopeMessage.Done());
+    }
+    return propose(
+        new ScopeCommand.Submit(
+            calls.accept(check.admitted(), submit.job(), wallClock.nowMillis())));
+  }
+
+  private Answer state(CallerAddress address) throws InvalidInputException {
+    ScopeCalls.Check check = calls.check(address);
+    if (check.refusal() != null) {
+      return refused(check.refusal(), address);
+    }
+    if (check.admitted().rest().isEmpty()) {
+      return new ScopeMessage.Pending(ledger.pending(check.admitted().queue().name()));
+    }
+    Optional<JobEntry> job = calls.job(check.admitted());
+    return job.<Answer>map(entry -> new ScopeMessage.State(entry.status()))
+        .orElseGet(() -> refused(ScopeRefusal.UNKNOWN_JOB, address));
+  }
+
+  private Mono<Answer> cancel(CallerAddress address) throws InvalidInputException {
+    ScopeCalls.Check check = calls.check(address);
+    if (check.refusal() != null) {
+      return refuse(check.refusal(), address);
+    }
+    Optional<JobEntry> job = calls.job(check.admitted());
+    if (job.isEmpty()) {
+      return refuse(ScopeRefusal.UNKNOWN_JOB, address);
+    }
+    return propose(new ScopeCommand.Cancel(job.get().job().id(), wallClock.nowMillis()));
+  }
+
+  private Mono<Answer> configure(ScopeMessage.Configure configure) {
+    boolean isNewer =
+        configure.configuration().revision().compareTo(ledger.configuration().revision()) > 0;
+    events.operatorOrder(
+        "configuration",
+        "revision="
+            + configure.configuration().revision()
+            + " in_force="
+            + ledger.configuration().revision());
+    if (!isNewer) {
+      return Mono.just(new ScopeMessage.Done());
+    }
+    return propose(new ScopeCommand.Configure(configure.configuration(), configure.content()));
+  }
+
+  private Answer configuration() {
+    return ledger.configuration().isPresent()
+        ? new ScopeMessage.Configuration(ledger.content())
+        : new ScopeMessage.Refused(ScopeRefusal.NOT_CONFIGURED);
+  }
+
+  private Mono<Answer> refuse(ScopeRefusal why, CallerAddress address) {
+    return Mono.just(refused(why, address));
+  }
+
+  private Answer refused(ScopeRefusal why, CallerAddress address) {
+    events.refused(why, address);
+    return new ScopeMessage.Refused(why);
+  }
+
+  private Mono<Answer> propose(ScopeCommand command) {
+    return log.propose(codec.write(command)).map(result -> new ScopeMessage.Done());
+  }
+
+  private void joinRequested(ScopeMessage.Join join) {
+    log.duty()
+        .offer(
+            () -> {
+              Optional<Member> known = log.membership().find(join.replica().instance());
+              boolean isMember =
+                  known.map(member -> member.replica().equals(join.replica())).orElse(false);
+              if (log.isLeader() && !isMember) {
+                log.changeMembership(new MembershipChange.AddLearner(join.replica()));
+              }
+            });
+  }
+
+  // Log thread: scheduler
+
+  private Present present() {
+    return new Present(clock.nowMillis(), wallClock.nowMillis());
+  }
+
+  private void perform(List<ScopeAction> actions, Present present) {
+    boolean mayOrder = actions.isEmpty() || log.isAuthoritative(present.millis());
+    for (ScopeAction action : actions) {
+      if (action instanceof ScopeAction.Propose propose) {
+        proposeForScheduler(propose.command());
+      } else if (action instanceof ScopeAction.Report report) {
+        events.decided(report.event());
+      } else if (action instanceof ScopeAction.Start order) {
+        start(order, mayOrder);
+      } else if (action instanceof ScopeAction.Stop order) {
+        stop(order, mayOrder);
+      } else if (action instanceof ScopeAction.Look order) {
+        look(order, mayOrder);
+      }
+    }
+  }
+
+  private void proposeForScheduler(ScopeCommand command) {
+    log.propose(codec.write(command))
+        .subscribe(
+            result -> {},
+            error ->
+                log.duty()
+                    .offer(
+                        () -> {
+                          Present present = present();
+                          perform(scheduler.proposalFailed(command, present), present);
+                        }));
+  }
+
+  private void start(ScopeAction.Start order, boolean mayOrder) {
+    Mono<WorkerOrders.StartReply> reply =
+        mayOrder
+            ? workers.start(order)
+            : Mono.just(new WorkerOrders.StartReply(StartAnswer.NO_ANSWER, 0));
+    reply.subscribe(
+        answered ->
+            later(
+                present ->
+                    scheduler.startAnswered(
+                        order.run(), answered.answer(), answered.clockMillis(), present)));
+  }
+
+  private void stop(ScopeAction.Stop order, boolean mayOrder) {
+    RunId run = order.run();
+    Mono<StopAnswer> reply = mayOrder ? workers.stop(order) : Mono.just(StopAnswer.NO_ANSWER);
+    reply.subscribe(answered -> later(present -> scheduler.stopAnswered(run, answered, present)));
+  }
+
+  private void look(ScopeAction.Look order, boolean mayOrder) {
+    WorkerKey worker = order.worker();
+    Mono<LookAnswer> reply =
+        mayOrder ? workers.look(order) : Mono.just(LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
+    reply.subscribe(
+        answered -> later(present -> scheduler.lookAnswered(worker, answered, present)));
+  }
+
+  /** Hands an answer to the log thread; it comes from an event loop. */
+  private void later(java.util.function.Function<Present, List<ScopeAction>> event) {
+    boolean taken =
+        log.duty()
+            .offer(
+                () -> {
+                  Present present = present();
+                  perform(event.apply(present), present);
+                });
+    if (!taken) {
+      LOG.error("an answer of a worker was dropped because the ring of the log is full");
+    }
+  }
+
+  /** The ledger as the state of the log. */
+  private final class LedgerState implements AppliedState<ScopeResult> {
+
+    @Override
+    public ScopeResult apply(LogEntry entry) throws WireException {
+      ScopeCommand command = codec.read(entry.command(), ScopeCommand.class);
+      ScopeResult result = ledger.apply(command);
+      Present present = present();
+      if (scheduler.isInOffice()) {
+        events.applied(command);
+      }
+      perform(scheduler.applied(command, present), present);
+      return result;
+    }
+
+    @Override
+    public byte[] snapshot() {
+      return codec.write(ledger.snapshot());
+    }
+
+    @Override
+    public void restore(byte[] state) throws WireException {
+      ledger.restore(codec.read(state, ScopeSnapshot.class));
+    }
+
+    @Override
+    public void changed(long applied) {
+      enterOfficeIfDue();
+    }
+
+    @Override
+    public void leaderChanged(InstanceId leader, org.primrosegauge.core.Term term) {
+      events.leaderChanged(leader, term);
+      if (scheduler.isInOffice() && !log.isLeader()) {
+        scheduler.leaveOffice();
+        events.office(false, term);
+      }
+    }
+
+    @Override
+    public void tick(long nowMillis) {
+      enterOfficeIfDue();
+      Present present = present();
+      perform(scheduler.tick(present), present);
+    }
+
+    private void enterOfficeIfDue() {
+      boolean isDue =
+          log.isLeader() && !scheduler.isInOffice() && log.isAuthoritative(clock.nowMillis());
+      if (isDue) {
+        Present present = present();
+        events.office(true, log.term());
+        perform(scheduler.takeOffice(log.term(), present), present);
+      }
+    }
+  }
+
+  /** Tells whether an error says that nothing was done. */
+  static boolean isUnavailable(Throwable error) {
+    return error instanceof PrimrosegaugeException known && known.kind() == ErrorKind.UNAVAILABLE;
+  }
+}
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
@@ -0,0 +1,126 @@
+package org.primrosegauge.node.scope;
+
+import static net.logstash.logback.argument.StructuredArguments.kv;
+
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeEvent;
+import org.primrosegauge.node.metrics.NodeMetrics;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes one log line for each decision that touches a job and each change of what the leader
+ * believes, and counts them.
+ *
+ * <p>Thread-safe.
+ *
+ * @since 0.2
+ */
+public final class ScopeEventLog {
+
+  private static final Logger LOG = LoggerFactory.getLogger(ScopeEventLog.class);
+
+  private final NodeMetrics metrics;
+
+  /**
+   * Creates the log.
+   *
+   * @since 0.2
+   */
+  public ScopeEventLog(NodeMetrics metrics) {
+    this.metrics = metrics;
+  }
+
+  /**
+   * Writes a decision of the scheduler.
+   *
+   * @since 0.2
+   */
+  public void decided(ScopeEvent event) {
+    metrics.count("primrosegauge.scope.events", "scheduler", event.kind());
+    if (event.run() != null) {
+      LOG.info(
+          "{} {} {} {}",
+          kv("event", event.kind()),
+          kv("run", event.run()),
+          kv("worker", event.worker()),
+          event.detail());
+    } else if (event.step() != null) {
+      LOG.info("{} {} {}", kv("event", event.kind()), kv("step", event.step()), event.detail());
+    } else {
+      LOG.info("{} {} {}", kv("event", event.kind()), kv("worker", event.worker()), event.detail());
+    }
+  }
+
+  /**
+   * Writes what a committed command did to a job or to the scope; ends and placements have events
+   * of their own.
+   *
+   * @since 0.2
+   */
+  public void applied(ScopeCommand command) {
+    if (command instanceof ScopeCommand.Submit submit) {
+      LOG.info(
+          "{} {} {} steps={}",
+          kv("event", "ACCEPTED"),
+          kv("job", submit.job().id()),
+          kv("queue", submit.job().queue()),
+          submit.job().steps().size());
+    } else if (command instanceof ScopeCommand.Cancel cancel) {
+      LOG.info("{} {}", kv("event", "CANCELLED"), kv("job", cancel.job()));
+    } else if (command instanceof ScopeCommand.Configure configure) {
+      LOG.info(
+          "{} revision={} queues={} customers={}",
+          kv("event", "CONFIGURED"),
+          configure.configuration().revision(),
+          configure.configuration().queues().size(),
+          configure.configuration().customers().size());
+    } else if (command instanceof ScopeCommand.SwitchDomain order) {
+      LOG.info("{} domain={} out={}", kv("event", "DOMAIN"), order.domain(), order.isOut());
+    }
+  }
+
+  /**
+   * Writes an order of the operators as it arrives.
+   *
+   * @since 0.2
+   */
+  public void operatorOrder(String what, String detail) {
+    LOG.info("{} order={} {}", kv("event", "OPERATOR_ORDER"), what, detail);
+  }
+
+  /**
+   * Writes and counts a refused call.
+   *
+   * @since 0.2
+   */
+  public void refused(ScopeRefusal reason, CallerAddress address) {
+    metrics.refused("scope", reason);
+    LOG.info(
+        "{} {} host={} path={}",
+        kv("event", "REFUSED"),
+        kv("reason", reason),
+        address.host(),
+        address.path());
+  }
+
+  /**
+   * Writes a change of the leader.
+   *
+   * @since 0.2
+   */
+  public void leaderChanged(InstanceId leader, Term term) {
+    LOG.info("{} leader={} term={}", kv("event", "LEADER"), leader, term);
+  }
+
+  /**
+   * Writes that the scheduler begins or ends deciding here.
+   *
+   * @since 0.2
+   */
+  public void office(boolean begins, Term term) {
+    LOG.info("{} term={}", kv("event", begins ? "OFFICE_TAKEN" : "OFFICE_LEFT"), term);
+  }
+}
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
@@ -0,0 +1,182 @@
+package org.primrosegauge.node.scope;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.StorageException;
+import org.primrosegauge.core.log.LogMessage;
+import org.primrosegauge.core.log.cfg.LogSettings;
+import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.core.scope.ScopeScheduler;
+import org.primrosegauge.node.duty.Duty;
+import org.primrosegauge.node.duty.MonotonicClock;
+import org.primrosegauge.node.journal.Journal;
+import org.primrosegauge.node.metrics.NodeMetrics;
+import org.primrosegauge.node.scope.cfg.ScopeNodeSettings;
+import org.primrosegauge.node.transport.PeerAddress;
+import org.primrosegauge.node.transport.PeerSecurity;
+import org.primrosegauge.node.transport.PeerTransport;
+import org.primrosegauge.wire.FrameCodec;
+import org.primrosegauge.wire.MessageTypes;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One instance of a scope: connections to the others, the way to the leader and, with a data
+ * folder, the replicated ledger.
+ *
+ * <p>Life-cycle: created from settings, {@link #start}, {@link #close}.
+ *
+ * @since 0.2
+ */
+public final class ScopeInstance implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(ScopeInstance.class);
+  private static final MessageTypes TYPES =
+      MessageTypes.builder()
+          .family("log", LogMessage.class)
+          .family("scope", ScopeMessage.class)
+          .build();
+  private static final String LOG_FOLDER = "log";
+  private static final int RING_CAPACITY = 1_024;
+  private static final long HOUSEKEEPING_MILLIS = 250;
+  private static final long JOIN_MILLIS = 500;
+  private static final int VOTER_LOSS_MILLIS = 8_000;
+
+  private final ScopeNodeSettings settings;
+  private final MonotonicClock clock = MonotonicClock.system();
+  private final NodeMetrics metrics = new NodeMetrics();
+  private final PeerTransport transport;
+  private final ScopeClient client;
+  private final ScopeDuty ledger;
+  private final Duty housekeeping;
+  private long nextJoinMillis;
+
+  /**
+   * Creates an instance that does not run yet.
+   *
+   * @param workers port to the workers; used while this instance leads
+   * @param onStorageFailure told once when the storage becomes unusable; the process must then end
+   * @throws StorageException when the storage cannot be recovered
+   * @since 0.2
+   */
+  public ScopeInstance(
+      ScopeNodeSettings settings, WorkerOrders workers, Consumer<StorageException> onStorageFailure)
+      throws StorageException {
+    this.settings = settings;
+    this.transport =
+        new PeerTransport(settings.self(), new FrameCodec(TYPES), metrics, PeerSecurity.NONE);
+    transport.resolver(peer -> Optional.of(addressOf(peer)));
+    this.client = new ScopeClient(settings.self(), transport, clock, settings.seeds());
+    this.ledger = settings.dataFolder().isPresent() ? openLedger(workers, onStorageFailure) : null;
+    this.housekeeping =
+        new Duty("housekeeping", RING_CAPACITY, HOUSEKEEPING_MILLIS, clock, this::keepHouse);
+  }
+
+  private ScopeDuty openLedger(WorkerOrders workers, Consumer<StorageException> onStorageFailure)
+      throws StorageException {
+    List<InstanceId> initialVoters = settings.isFirstStart() ? settings.seeds() : List.of();
+    LogSettings logSettings =
+        LogSettings.of(settings.self(), initialVoters)
+            .withTargetVoters(settings.targetVoters(), VOTER_LOSS_MILLIS);
+    RandomGenerator random =
+        RandomGeneratorFactory.<RandomGenerator>of("L64X128MixRandom").create();
+    ScopeLedger state = new ScopeLedger(settings.retentionMillis());
+    ScopeDuty duty =
+        new ScopeDuty(
+            logSettings,
+            state,
+            new ScopeScheduler(state, settings.scheduling()),
+            new ScopeDuty.Ports(
+                new Journal(settings.dataFolder().orElseThrow().resolve(LOG_FOLDER)),
+                random,
+                clock,
+                System::currentTimeMillis,
+                transport,
+                workers,
+                new ScopeEventLog(metrics),
+                onStorageFailure));
+    client.attach(duty);
+    return duty;
+  }
+
+  // Life-cycle
+
+  /**
+   * Starts its threads and takes connections of other instances.
+   *
+   * @since 0.2
+   */
+  public void start() {
+    transport.start(settings.self().value(), settings.peerPort());
+    if (ledger != null) {
+      ledger.start();
+    }
+    housekeeping.start();
+    LOG.info(
+        "instance {} started, seeds {}, keeps the log: {}",
+        settings.self(),
+        settings.seeds(),
+        ledger != null);
+  }
+
+  @Override
+  public void close() {
+    housekeeping.close();
+    if (ledger != null) {
+      ledger.close();
+    }
+    transport.close();
+    LOG.info("instance {} stopped", settings.self());
+  }
+
+  // Accessors
+
+  /**
+   * Returns the way to the leader.
+   *
+   * @since 0.2
+   */
+  public ScopeClient client() {
+    return client;
+  }
+
+  /**
+   * Returns the counters.
+   *
+   * @since 0.2
+   */
+  public NodeMetrics metrics() {
+    return metrics;
+  }
+
+  /**
+   * Tells whether callers are served here: a leader answered lately.
+   *
+   * @since 0.2
+   */
+  public boolean isReady() {
+    return client.isInContact(clock.nowMillis());
+  }
+
+  // Internals
+
+  private PeerAddress addressOf(InstanceId peer) {
+    return new PeerAddress(peer, peer.value(), settings.peerPort());
+  }
+
+  private void keepHouse(long nowMillis) {
+    client.tick(nowMillis);
+    if (ledger != null && nowMillis >= nextJoinMillis) {
+      nextJoinMillis = nowMillis + JOIN_MILLIS;
+      ledger
+          .joinIfNeeded()
+          .subscribe(
+              join -> client.known().forEach(peer -> transport.tell(peer, join)),
+              error -> LOG.warn("membership is not known: {}", error.getMessage()));
+    }
+  }
+}
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
@@ -0,0 +1,146 @@
+package org.primrosegauge.node.scope;
+
+import java.util.List;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.log.ReplicaId;
+import org.primrosegauge.core.scope.JobStatus;
+import org.primrosegauge.core.scope.ScopeConfiguration;
+import org.primrosegauge.core.scope.WorkerStatus;
+
+/**
+ * Message between instances of a scope.
+ *
+ * @since 0.2
+ */
+public sealed interface ScopeMessage {
+
+  /** A question that any instance with a log answers. */
+  sealed interface Question extends ScopeMessage {}
+
+  /** An answer. */
+  sealed interface Answer extends ScopeMessage {}
+
+  // Questions
+
+  /** Asks who leads and who keeps the log. */
+  record AskLeader() implements Question {}
+
+  /**
+   * Hands a job in.
+   *
+   * @param address queue and id of the job, as the caller named them
+   * @param job job
+   */
+  record Submit(CallerAddress address, JobSubmission job) implements Question {}
+
+  /**
+   * Asks for the state of a job, or how many jobs of a queue wait.
+   *
+   * @param address queue and id of the job, or queue alone
+   */
+  record AskState(CallerAddress address) implements Question {}
+
+  /**
+   * Cancels a job.
+   *
+   * @param address queue and id of the job
+   */
+  record Cancel(CallerAddress address) implements Question {}
+
+  /**
+   * Puts a configuration in force.
+   *
+   * @param configuration configuration
+   * @param content text as the operators sent it
+   */
+  record Configure(ScopeConfiguration configuration, String content) implements Question {}
+
+  /** Asks for the configuration in force. */
+  record AskConfiguration() implements Question {}
+
+  /**
+   * Takes a failure domain out, or back in.
+   *
+   * @param domain failure domain
+   * @param isOut whether nothing may start there
+   */
+  record SwitchDomain(FailureDomainId domain, boolean isOut) implements Question {}
+
+  /**
+   * Passes a heartbeat on.
+   *
+   * @param status heartbeat
+   */
+  record Heartbeat(WorkerStatus status) implements Question {}
+
+  /**
+   * Passes on that a worker ends.
+   *
+   * @param target worker
+   */
+  record WorkerLeft(TargetId target) implements Question {}
+
+  // One-way
+
+  /**
+   * Asks to be admitted to the log.
+   *
+   * @param replica replica that is no member
+   */
+  record Join(ReplicaId replica) implements ScopeMessage {}
+
+  // Answers
+
+  /**
+   * Tells who leads and who keeps the log.
+   *
+   * @param leader leader; null when none is known
+   * @param members members of the log
+   * @param isAuthoritative whether the sender itself leads and may answer for all
+   */
+  record Leader(InstanceId leader, List<InstanceId> members, boolean isAuthoritative)
+      implements Answer {}
+
+  /**
+   * Says that the sender does not lead and has done nothing.
+   *
+   * @param leader leader; null when none is known
+   */
+  record NotLeader(InstanceId leader) implements Answer {}
+
+  /** Says that the question was carried out. */
+  record Done() implements Answer {}
+
+  /** Says that the question may have been carried out. */
+  record Unknown() implements Answer {}
+
+  /**
+   * Refuses a question, which was not carried out.
+   *
+   * @param reason why
+   */
+  record Refused(ScopeRefusal reason) implements Answer {}
+
+  /**
+   * Tells the state of a job.
+   *
+   * @param status state
+   */
+  record State(JobStatus status) implements Answer {}
+
+  /**
+   * Tells how many jobs of a queue have not started.
+   *
+   * @param jobs number of jobs
+   */
+  record Pending(long jobs) implements Answer {}
+
+  /**
+   * Tells the configuration in force.
+   *
+   * @param content text as the operators sent it
+   */
+  record Configuration(String content) implements Answer {}
+}
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
@@ -0,0 +1,23 @@
+package org.primrosegauge.node.scope;
+
+/**
+ * Why a call was refused. Each has a counter.
+ *
+ * @since 0.2
+ */
+public enum ScopeRefusal {
+  /** No configuration is in force yet. */
+  NOT_CONFIGURED,
+  /** No queue has this host and path. */
+  NO_QUEUE,
+  /** The key belongs to no customer. */
+  UNKNOWN_KEY,
+  /** No such job. */
+  UNKNOWN_JOB,
+  /** The id of the job is malformed. */
+  BAD_ID,
+  /** Too many proposals wait for the log. */
+  OVERLOADED,
+  /** No leader can be reached. */
+  NO_LEADER
+}
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/WorkerOrders.java
@@ -0,0 +1,45 @@
+package org.primrosegauge.node.scope;
+
+import org.primrosegauge.core.scope.LookAnswer;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.StartAnswer;
+import org.primrosegauge.core.scope.StopAnswer;
+import reactor.core.publisher.Mono;
+
+/**
+ * Port to the workers. No result fails: what goes wrong is one of the answers.
+ *
+ * @since 0.2
+ */
+public interface WorkerOrders {
+
+  /**
+   * What became of an order to start.
+   *
+   * @param answer answer
+   * @param clockMillis the worker's clock; 0 when it did not say
+   * @since 0.2
+   */
+  record StartReply(StartAnswer answer, long clockMillis) {}
+
+  /**
+   * Orders a worker to start a run.
+   *
+   * @since 0.2
+   */
+  Mono<StartReply> start(ScopeAction.Start order);
+
+  /**
+   * Orders a worker to stop a run.
+   *
+   * @since 0.2
+   */
+  Mono<StopAnswer> stop(ScopeAction.Stop order);
+
+  /**
+   * Looks at a worker.
+   *
+   * @since 0.2
+   */
+  Mono<LookAnswer> look(ScopeAction.Look order);
+}
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerLink.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerLink.java
@@ -4,6 +4,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import java.time.Duration;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import reactor.core.Disposable;
@@ -27,9 +29,16 @@
   private static final double BACKOFF_JITTER = 0.5;
   private static final int MAX_IN_FLIGHT = 1_024;
 
+  /** Pause after which a silent connection is probed. */
+  private static final long PROBE_MILLIS = 700;
+
+  /** Silence after which a connection counts as broken, although nobody has closed it. */
+  private static final long SILENCE_MILLIS = 2_100;
+
   private final AtomicInteger inFlight = new AtomicInteger();
   private final Disposable connecting;
   private volatile Channel channel;
+  private volatile long heardNanos;
 
   PeerLink(PeerAddress peer, PeerSecurity security, BiConsumer<Channel, byte[]> receiver) {
     TcpClient client =
@@ -41,7 +50,7 @@
             .doOnChannelInit(
                 (observer, opened, remote) ->
                     PeerTransport.installFraming(
-                        opened, new PeerTransport.FrameReader(receiver, security)));
+                        opened, new PeerTransport.FrameReader(heardBy(receiver), security)));
     // The element that a new connection emits makes the retry operator start its back-off afresh.
     Flux<Channel> session =
         Mono.defer(() -> security.secure(client).connect())
@@ -89,11 +98,40 @@
 
   private Flux<Channel> serve(Connection connection) {
     channel = connection.channel();
+    heardNanos = System.nanoTime();
+    Future<?> probes =
+        channel
+            .eventLoop()
+            .scheduleAtFixedRate(
+                () -> probe(connection.channel()),
+                PROBE_MILLIS,
+                PROBE_MILLIS,
+                TimeUnit.MILLISECONDS);
+    channel.closeFuture().addListener(closed -> probes.cancel(false));
     // Reads start with a subscriber; the frames themselves end at the handler before it.
     Mono<Channel> reading = connection.inbound().receive().then(Mono.empty());
     return Flux.concat(Mono.just(channel), reading, connection.onDispose().then(Mono.empty()));
   }
 
+  /** Empty frames are answers to probes; they say only that the connection works. */
+  private BiConsumer<Channel, byte[]> heardBy(BiConsumer<Channel, byte[]> receiver) {
+    return (from, frame) -> {
+      heardNanos = System.nanoTime();
+      if (frame.length > 0) {
+        receiver.accept(from, frame);
+      }
+    };
+  }
+
+  private void probe(Channel probed) {
+    long silence = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardNanos);
+    if (silence >= SILENCE_MILLIS) {
+      probed.close();
+    } else if (silence >= PROBE_MILLIS / 2) {
+      probed.writeAndFlush(Unpooled.EMPTY_BUFFER);
+    }
+  }
+
   /** Makes the retry operator open the connection again. */
   private static final class ConnectionEndedException extends Exception {
     private static final long serialVersionUID = 1L;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
@@ -10,10 +10,12 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.BiFunction;
+import java.util.function.Function;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.PrimrosegaugeException;
@@ -79,6 +81,7 @@
   private final AtomicLong correlations = new AtomicLong();
   private final AtomicLong bytesSent = new AtomicLong();
   private final AtomicLong bytesReceived = new AtomicLong();
+  private volatile Function<InstanceId, Optional<PeerAddress>> resolver = peer -> Optional.empty();
   private DisposableServer server;
 
   /**
@@ -120,6 +123,16 @@
     askHandlers.put(family, (from, body) -> handler.apply(from, family.cast(body)));
   }
 
+  /**
+   * Sets how the address of a peer is found that nobody has connected yet. Without it, only peers
+   * given to {@link #connect} are reached.
+   *
+   * @since 0.2
+   */
+  public void resolver(Function<InstanceId, Optional<PeerAddress>> addresses) {
+    resolver = addresses;
+  }
+
   // Life-cycle
 
   /**
@@ -155,6 +168,18 @@
     }
   }
 
+  /**
+   * Keeps no connection to a peer any more.
+   *
+   * @since 0.2
+   */
+  public void disconnect(InstanceId peer) {
+    PeerLink link = links.remove(peer);
+    if (link != null) {
+      link.close();
+    }
+  }
+
   @Override
   public void close() {
     links.values().forEach(PeerLink::close);
@@ -221,7 +246,9 @@
    * Sends a message and waits for the reply.
    *
    * @param replyType type of the reply
-   * @param timeout longest wait; after it the result is an error of kind UNAVAILABLE
+   * @param timeout longest wait
+   * @return the reply; an error of kind UNAVAILABLE when the message was not sent, and of kind
+   *     OUTCOME_UNKNOWN when no reply came in time
    * @since 0.1
    */
   public <R> Mono<R> ask(InstanceId to, Object message, Class<R> replyType, Duration timeout) {
@@ -240,7 +267,7 @@
                       sink.error(unreachable(to));
                     }
                   })
-              .timeout(timeout, Mono.error(() -> unreachable(to)))
+              .timeout(timeout, Mono.error(() -> unanswered(to)))
               .doFinally(signal -> waiting.remove(correlation))
               .cast(replyType);
         });
@@ -249,7 +276,7 @@
   // Internals
 
   private boolean write(InstanceId to, Frame frame) {
-    PeerLink link = links.get(to);
+    PeerLink link = linkTo(to);
     if (link == null || !link.isConnected()) {
       metrics.count("primrosegauge.transport", "peer", TransportEvent.PEER_UNREACHABLE);
       return false;
@@ -263,6 +290,15 @@
     return true;
   }
 
+  private PeerLink linkTo(InstanceId peer) {
+    PeerLink known = links.get(peer);
+    if (known != null) {
+      return known;
+    }
+    resolver.apply(peer).ifPresent(this::connect);
+    return links.get(peer);
+  }
+
   private void install(Channel channel, PeerSecurity peerSecurity) {
     installFraming(channel, new FrameReader(this::receive, peerSecurity));
   }
@@ -281,6 +317,11 @@
   }
 
   private void receive(Channel channel, byte[] bytes) {
+    if (bytes.length == 0) {
+      // A probe: it is answered in kind, which tells the peer that the connection still works.
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
+      return;
+    }
     bytesReceived.addAndGet(bytes.length + LENGTH_BYTES);
     try {
       Frame frame = codec.decode(bytes);
@@ -354,10 +395,18 @@
     return null;
   }
 
+  private static PrimrosegaugeException unanswered(InstanceId peer) {
+    return new PrimrosegaugeException(
+        ErrorKind.OUTCOME_UNKNOWN,
+        "instance " + peer + " did not answer in time",
+        "ask for the outcome, or send the same request again",
+        "");
+  }
+
   private static PrimrosegaugeException unreachable(InstanceId peer) {
     return new PrimrosegaugeException(
         ErrorKind.UNAVAILABLE,
-        "instance " + peer + " did not answer",
+        "instance " + peer + " cannot be reached",
         "come back in a second, or check the network between the instances",
         "");
   }
