Scope scheduler: virtual-time world with a checker, state machine and cases

Change: ScopeWorld drives the real ledger and scheduler with workers that keep to their protocol; a customer beyond its guarantee has none of its runs protected (a case failed first).

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
@@ -189,11 +189,8 @@
         return false;
       }
       int guaranteed = state.ledger.configuration().guaranteedTo(owner);
-      return used.getOrDefault(owner, 0) - guaranteed >= widthOf(run);
-    }
-
-    private int widthOf(RunControl run) {
-      return stoppedWith(run).stream().mapToInt(each -> each.spec.task().accelerators()).sum();
+      // A customer beyond its guarantee has borrowed, and none of its runs is protected.
+      return used.getOrDefault(owner, 0) > guaranteed;
     }
 
     private int priorityOf(JobEntry job) {
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeSchedulerTest.java
@@ -0,0 +1,126 @@
+package org.primrosegauge.core.scope;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.primrosegauge.core.job.Resources;
+
+class ScopeSchedulerTest {
+
+  private static final Resources ONE = new Resources(4_000, 10_000, 1);
+  private static final Resources WHOLE_WORKER = new Resources(4_000, 10_000, 8);
+
+  private static StepSpec.Builder step(int count, Resources task) {
+    return StepSpec.builder(count).task(task).estimatedMillis(2_000);
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void runsAllTasksOfChain(boolean gang) {
+    ScopeWorld world = new ScopeWorld(1, 6, true);
+    world.run(2_000);
+    StepSpec first = step(5, ONE).gang(gang).build();
+    StepSpec second = step(3, WHOLE_WORKER).dependsOn(List.of(0)).gang(gang).build();
+    world.submit("j1", 1, "first", List.of(first, second), 2_000);
+    world.run(6_000);
+    assertThat(world.violations).isEmpty();
+    assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.counts).containsExactly(RunOutcome.DONE, 8);
+  }
+
+  @Test
+  void gangWaitsUntilAllFit() {
+    ScopeWorld world = new ScopeWorld(2, 4, true);
+    world.run(2_000);
+    world.submit("small", 1, "first", List.of(step(1, ONE).build()), 4_000);
+    world.run(300);
+    world.submit("wide", 1, "first", List.of(step(4, WHOLE_WORKER).gang(true).build()), 1_000);
+    world.run(2_000);
+    assertThat(world.status("wide")).isEqualTo(JobStatus.QUEUED);
+    world.run(5_000);
+    assertThat(world.violations).isEmpty();
+    assertThat(world.status("wide")).isEqualTo(JobStatus.COMPLETED);
+  }
+
+  @Test
+  void urgentJobTakesRoomWithinReclaimTime() {
+    ScopeWorld world = new ScopeWorld(3, 4, true);
+    world.run(2_000);
+    StepSpec filler = step(32, ONE).checkpoints(true).build();
+    world.submit("filler", 2, "second", List.of(filler), 20_000);
+    world.run(3_000);
+    long asked = world.now;
+    world.submit("urgent", 0, "first", List.of(step(2, WHOLE_WORKER).gang(true).build()), 1_000);
+    world.run(2_900);
+    assertThat(world.firstBegin).containsKey(new org.primrosegauge.core.JobId("urgent"));
+    assertThat(world.firstBegin.get(new org.primrosegauge.core.JobId("urgent")) - asked)
+        .isLessThan(2_900);
+    world.run(60_000);
+    assertThat(world.violations).isEmpty();
+    assertThat(world.status("filler")).isEqualTo(JobStatus.COMPLETED);
+  }
+
+  @Test
+  void borrowedGuaranteeIsReclaimed() {
+    ScopeWorld world = new ScopeWorld(4, 3, true);
+    world.run(2_000);
+    world.submit("loan", 0, "second", List.of(step(3, WHOLE_WORKER).gang(true).build()), 30_000);
+    world.run(1_000);
+    world.submit("claim", 0, "first", List.of(step(2, WHOLE_WORKER).gang(true).build()), 1_000);
+    world.run(2_900);
+    assertThat(world.firstBegin).containsKey(new org.primrosegauge.core.JobId("claim"));
+  }
+
+  @Test
+  void cancelledJobStops() {
+    ScopeWorld world = new ScopeWorld(5, 4, true);
+    world.run(2_000);
+    world.submit("j1", 1, "first", List.of(step(4, ONE).gang(true).build()), 10_000);
+    world.run(1_000);
+    world.cancel("j1");
+    world.run(1_000);
+    assertThat(world.status("j1")).isEqualTo(JobStatus.CANCELLED);
+    assertThat(world.workers.values().stream().mapToInt(w -> w.runs.size()).sum()).isEqualTo(0);
+  }
+
+  @Test
+  void jobThatAlwaysFailsEndsAsFailed() {
+    ScopeWorld world = new ScopeWorld(6, 4, true);
+    world.run(2_000);
+    world.poison("bad");
+    world.submit("bad", 1, "first", List.of(step(3, ONE).gang(true).build()), 1_000);
+    world.run(15_000);
+    assertThat(world.violations).isEmpty();
+    assertThat(world.status("bad")).isEqualTo(JobStatus.FAILED);
+  }
+
+  @Test
+  void newLeaderGoesOnWithWhatRuns() {
+    ScopeWorld world = new ScopeWorld(7, 4, true);
+    world.run(2_000);
+    world.submit("j1", 1, "first", List.of(step(4, ONE).gang(true).build()), 6_000);
+    world.run(1_000);
+    world.loseLeader(2_000);
+    world.run(8_000);
+    assertThat(world.violations).isEmpty();
+    assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.counts).containsExactly(RunOutcome.DONE, 4);
+  }
+
+  @Test
+  void cutWorkerKeepsItsTaskUntilTheLeaseIsOver() {
+    ScopeWorld world = new ScopeWorld(8, 4, true);
+    world.isCalm = false;
+    world.run(2_000);
+    world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 8_000);
+    world.run(1_000);
+    world.cut("w1", 5_000);
+    world.run(10_000);
+    assertThat(world.violations).isEmpty();
+    assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.counts).containsExactly(RunOutcome.DONE, 4);
+  }
+}
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/SimulatedWorker.java
@@ -0,0 +1,218 @@
+package org.primrosegauge.core.scope;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.LookAnswer.EndedEntry;
+import org.primrosegauge.core.scope.LookAnswer.RunningEntry;
+
+/**
+ * One lifetime of a worker in virtual time: leases on a clock that may be slow, fencing tokens,
+ * gangs that wait for their members, checkpoints, and ends that are listed until they are forgotten.
+ */
+final class SimulatedWorker {
+
+  static final long STOP_MILLIS = 300;
+  static final long GANG_TIMEOUT_MILLIS = 3_000;
+  static final long CHECKPOINT_MILLIS = 1_000;
+  static final long LONGEST_LEASE_MILLIS = 10_000;
+
+  /** A run that is there. */
+  static final class Run {
+    final RunId id;
+    final StepSpec spec;
+    final long workMillis;
+    final boolean fails;
+    final long startedMillis;
+    long progressMillis;
+    long stopAtMillis = Long.MAX_VALUE;
+    String saved;
+
+    Run(RunId id, StepSpec spec, long workMillis, boolean fails, long now, String checkpoint) {
+      this.id = id;
+      this.spec = spec;
+      this.workMillis = workMillis;
+      this.fails = fails;
+      this.startedMillis = now;
+      this.saved = checkpoint;
+      this.progressMillis = checkpoint.isEmpty() ? 0 : Long.parseLong(checkpoint.split("-")[1]);
+    }
+  }
+
+  final WorkerInfo info;
+  final double clockRate;
+  final boolean guards;
+  final Map<RunId, Run> runs = new LinkedHashMap<>();
+  final List<EndedEntry> ended = new ArrayList<>();
+  final Map<TaskKey, Integer> barred = new HashMap<>();
+  private final ScopeWorld world;
+  long fence;
+  long deadline;
+  long ends;
+  long sequence;
+  boolean stalls;
+  boolean failsAll;
+  boolean drains;
+
+  SimulatedWorker(ScopeWorld world, WorkerInfo info, double clockRate, boolean guards) {
+    this.world = world;
+    this.info = info;
+    this.clockRate = clockRate;
+    this.guards = guards;
+  }
+
+  long clock(long now) {
+    return (long) ((now - info.key().bornMillis()) * clockRate) + 1;
+  }
+
+  Resources used() {
+    return runs.values().stream()
+        .map(run -> run.spec.task())
+        .reduce(Resources.NONE, Resources::plus);
+  }
+
+  WorkerStatus status(long now) {
+    return new WorkerStatus(info, ++sequence, drains, drains ? 2_000 : 0, clock(now));
+  }
+
+  // Orders
+
+  StartAnswer start(ScopeAction.Start order, long now) {
+    if (!order.worker().equals(info.key())) {
+      return StartAnswer.OTHER_LIFETIME;
+    }
+    if (order.term().number() < fence) {
+      return StartAnswer.FENCED;
+    }
+    fence = order.term().number();
+    if (order.deadlineMillis() <= clock(now)) {
+      return StartAnswer.LATE;
+    }
+    extend(order.deadlineMillis(), now);
+    if (runs.containsKey(order.run())) {
+      return StartAnswer.STARTED;
+    }
+    if (order.run().attempt() <= barred.getOrDefault(order.run().task(), 0)) {
+      return StartAnswer.SUPERSEDED;
+    }
+    StepSpec spec = world.specOf(order.run().task());
+    if (guards && !used().plus(spec.task()).fitsIn(info.capacity())) {
+      return StartAnswer.NO_ROOM;
+    }
+    Run run =
+        new Run(
+            order.run(),
+            spec,
+            world.workOf(order.run().task()),
+            failsAll || world.isPoison(order.run().task().job()),
+            now,
+            order.checkpoint());
+    runs.put(order.run(), run);
+    world.began(this, run, order);
+    return StartAnswer.STARTED;
+  }
+
+  StopAnswer stop(ScopeAction.Stop order, long now) {
+    if (!order.worker().equals(info.key())) {
+      return StopAnswer.OTHER_LIFETIME;
+    }
+    if (order.term().number() < fence) {
+      return StopAnswer.FENCED;
+    }
+    fence = order.term().number();
+    barred.merge(order.run().task(), order.run().attempt(), Math::max);
+    Run run = runs.get(order.run());
+    if (run != null) {
+      run.stopAtMillis = Math.min(run.stopAtMillis, now + STOP_MILLIS);
+    }
+    return StopAnswer.STOPPING;
+  }
+
+  /** Takes a look; the answer is made when it has waited long enough. */
+  boolean admit(ScopeAction.Look order, long now) {
+    if (!order.worker().equals(info.key()) || order.term().number() < fence) {
+      return false;
+    }
+    fence = order.term().number();
+    for (EndedEntry entry : ended) {
+      if (entry.number() <= order.lastEnd()) {
+        world.noted(this, entry);
+      }
+    }
+    ended.removeIf(entry -> entry.number() <= order.lastEnd());
+    if (order.deadlineMillis() > 0) {
+      extend(order.deadlineMillis(), now);
+    }
+    return true;
+  }
+
+  LookAnswer report(long now) {
+    List<RunningEntry> running = new ArrayList<>();
+    for (Run run : runs.values()) {
+      int percent = (int) (100 * run.progressMillis / run.workMillis);
+      running.add(new RunningEntry(run.id, run.saved, percent));
+    }
+    return new LookAnswer(LookAnswer.Kind.REPORT, clock(now), running, List.copyOf(ended));
+  }
+
+  private void extend(long until, long now) {
+    deadline = Math.max(deadline, Math.min(until, clock(now) + LONGEST_LEASE_MILLIS));
+  }
+
+  // Time
+
+  void advance(long now, long step) {
+    if (clock(now) > deadline) {
+      for (Run run : List.copyOf(runs.values())) {
+        end(run, RunOutcome.LAPSED);
+      }
+      world.lapsed(this);
+    }
+    for (Run run : List.copyOf(runs.values())) {
+      advance(run, now, step);
+    }
+  }
+
+  private void advance(Run run, long now, long step) {
+    if (!runs.containsKey(run.id)) {
+      return;
+    }
+    if (now >= run.stopAtMillis) {
+      run.saved = run.spec.checkpoints() ? world.checkpoint(run) : run.saved;
+      end(run, RunOutcome.STOPPED);
+      return;
+    }
+    boolean isWhole = !run.spec.gang() || world.isGangPresent(run);
+    if (!isWhole) {
+      if (world.hasGangMemberEnded(run)) {
+        end(run, RunOutcome.BROKEN);
+      } else if (now - run.startedMillis > GANG_TIMEOUT_MILLIS && !world.wasGangWhole(run)) {
+        end(run, RunOutcome.ALONE);
+      }
+      return;
+    }
+    if (stalls) {
+      return;
+    }
+    run.progressMillis += step;
+    if (run.spec.checkpoints() && run.progressMillis % CHECKPOINT_MILLIS < step) {
+      run.saved = world.checkpoint(run);
+    }
+    if (run.fails && run.progressMillis > run.workMillis / 3) {
+      end(run, RunOutcome.FAILED);
+    } else if (run.progressMillis >= run.workMillis) {
+      world.done(run);
+    }
+  }
+
+  void end(Run run, RunOutcome outcome) {
+    runs.remove(run.id);
+    barred.merge(run.id.task(), run.id.attempt(), Math::max);
+    String saved = outcome == RunOutcome.DONE ? "" : run.saved;
+    ended.add(new EndedEntry(++ends, new RunEnd(run.id, outcome, saved)));
+    world.ended(this, run, outcome);
+  }
+}
