--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Placer.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Placer.java
@@ -60,7 +60,8 @@
   }
 
   private boolean isOpen(WorkerSession worker, long nowMillis) {
-    return !worker.draining
+    return worker.knowsClock()
+        && !worker.draining
         && !worker.left
         && worker.lookFailures == 0
         && nowMillis >= worker.asideUntilMillis
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -128,6 +128,10 @@
     WorkerSession session = openSession(info, present);
     session.lapseNotBeforeMillis = present.millis();
     session.heardMillis = present.millis();
+    WorkerStatus first = state.announced.remove(info.key());
+    if (first != null) {
+      session.heard(first, present.millis());
+    }
     state.report(
         ScopeEvent.of(
             Kind.WORKER_SEEN,
@@ -247,6 +251,7 @@
     WorkerSession session = state.sessions.get(key);
     if (session == null) {
       if (!isOutdated(status.info())) {
+        state.announced.put(key, status);
         state.propose(new ScopeCommand.SeeWorker(status.info()));
       }
       return;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -17,6 +17,7 @@
 import org.primrosegauge.core.scope.StepKey;
 import org.primrosegauge.core.scope.TaskKey;
 import org.primrosegauge.core.scope.WorkerKey;
+import org.primrosegauge.core.scope.WorkerStatus;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
 
 /**
@@ -29,6 +30,7 @@
   final ScopeLedger ledger;
   final ScopeSettings settings;
   final Map<WorkerKey, WorkerSession> sessions = new LinkedHashMap<>();
+  final Map<WorkerKey, WorkerStatus> announced = new HashMap<>();
   final Map<RunId, RunControl> runs = new LinkedHashMap<>();
   final Map<StepKey, Reservation> reservations = new LinkedHashMap<>();
   final Map<StepKey, Long> notBefore = new HashMap<>();
@@ -47,6 +49,7 @@
 
   void clear() {
     sessions.clear();
+    announced.clear();
     runs.clear();
     reservations.clear();
     notBefore.clear();
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -52,8 +52,7 @@
       return;
     }
     boolean hasRuns = worker.runs.values().stream().anyMatch(RunControl::isOrdered);
-    boolean knowsClock = worker.clockAtMillis != Long.MIN_VALUE;
-    boolean renews = hasRuns && knowsClock && !worker.left;
+    boolean renews = hasRuns && worker.knowsClock() && !worker.left;
     long deadline = renews ? worker.clockAt(now) + state.settings.leaseMillis() : 0;
     worker.longestDeadline = Math.max(worker.longestDeadline, deadline);
     boolean waits = hasRuns && worker.confirmed && worker.lookFailures == 0;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -104,7 +104,7 @@
     } else {
       draining = false;
     }
-    if (clockAtMillis == Long.MIN_VALUE) {
+    if (!knowsClock()) {
       noteClock(status.clockMillis(), nowMillis);
     }
   }
@@ -114,6 +114,11 @@
     clockAtMillis = nowMillis;
   }
 
+  /** Tells whether the worker's clock is known, so that orders can carry deadlines. */
+  boolean knowsClock() {
+    return clockAtMillis != Long.MIN_VALUE;
+  }
+
   /** Returns an estimate of the worker's clock. */
   long clockAt(long nowMillis) {
     return clockMillis + (nowMillis - clockAtMillis);
@@ -124,7 +129,7 @@
     if (!confirmed && nowMillis < lapseNotBeforeMillis) {
       return false;
     }
-    if (clockAtMillis == Long.MIN_VALUE) {
+    if (!knowsClock()) {
       return nowMillis >= lapseNotBeforeMillis;
     }
     long least =
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeWorld.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeWorld.java
@@ -31,6 +31,7 @@
 
   static final long STEP_MILLIS = 10;
   private static final long COMMIT_MILLIS = 10;
+  private static final long ANSWER_TIMEOUT_MILLIS = 500;
   private static final long HEARTBEAT_MILLIS = 1_500;
   private static final int WORKERS_PER_RACK = 3;
   static final Resources WORKER = new Resources(64_000, 256_000, 8);
@@ -46,7 +47,10 @@
 
   private record Waiting(SimulatedWorker worker, long until, int knownEnds, int epoch) {}
 
+  private record Proposal(ScopeCommand command, long number) {}
+
   private final Random random;
+  private final List<Proposal> proposals = new ArrayList<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final boolean guards;
   final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
@@ -171,6 +175,8 @@
 
   /** Replaces the leader: what it had proposed may be lost, its orders on the way are not. */
   void changeLeader() {
+    scheduler = null;
+    settleProposals();
     epoch++;
     term++;
     scheduler = new ScopeScheduler(ledger, ScopeSettings.DEFAULT);
@@ -197,31 +203,46 @@
       if (action instanceof ScopeAction.Propose propose) {
         propose(propose.command());
       } else if (action instanceof ScopeAction.Start start) {
-        send(start.worker(), () -> answerStart(start, epoch));
+        int sentIn = epoch;
+        send(() -> answerStart(start, sentIn), () -> startLost(start, sentIn));
       } else if (action instanceof ScopeAction.Stop stop) {
-        send(stop.worker(), () -> answerStop(stop, epoch));
+        int sentIn = epoch;
+        send(() -> answerStop(stop, sentIn), () -> stopLost(stop, sentIn));
       } else if (action instanceof ScopeAction.Look look) {
         int sentIn = epoch;
-        send(look.worker(), () -> receiveLook(look, sentIn));
+        send(() -> receiveLook(look, sentIn), () -> lookLost(look, sentIn));
       }
     }
   }
 
   private void propose(ScopeCommand command) {
-    int proposedIn = epoch;
+    Proposal proposal = new Proposal(command, order++);
+    proposals.add(proposal);
     at(
         now + COMMIT_MILLIS,
         () -> {
-          boolean isLost = proposedIn != epoch && random.nextBoolean();
-          if (!isLost) {
+          if (proposals.remove(proposal)) {
             commit(command);
           }
         });
   }
 
+  /** A new leader finds some of what was proposed before in its log; the rest never happens. */
+  private void settleProposals() {
+    for (Proposal proposal : List.copyOf(proposals)) {
+      if (random.nextBoolean()) {
+        commit(proposal.command());
+      }
+    }
+    proposals.clear();
+  }
+
   private void commit(ScopeCommand command) {
     t("commit", command);
-    ledger.apply(command);
+    ScopeResult result = ledger.apply(command);
+    if (command instanceof ScopeCommand.Cancel cancel && result == ScopeResult.APPLIED) {
+      cancelledAt.putIfAbsent(cancel.job(), now);
+    }
     if (scheduler != null) {
       perform(scheduler.applied(command, present()));
     }
@@ -229,9 +250,11 @@
 
   // Network
 
-  private void send(WorkerKey worker, Runnable delivery) {
+  /** Delivers an order soon; a late one gets no answer and is carried out seconds later. */
+  private void send(Runnable delivery, Runnable lost) {
     if (random.nextDouble() < lateOrders) {
       at(now + 2_000 + random.nextInt(10_000), delivery);
+      at(now + ANSWER_TIMEOUT_MILLIS, lost);
       return;
     }
     at(now + 1 + random.nextInt(4), delivery);
@@ -244,7 +267,7 @@
 
   private void answer(int sentIn, boolean isAnswered, Consumer<ScopeScheduler> event) {
     boolean isLost = !isAnswered || random.nextDouble() < lostAnswers;
-    long delay = isLost ? 500 : 1 + random.nextInt(4);
+    long delay = isLost ? ANSWER_TIMEOUT_MILLIS : 1 + random.nextInt(4);
     at(
         now + delay,
         () -> {
@@ -254,6 +277,25 @@
         });
   }
 
+  private void startLost(ScopeAction.Start order, int sentIn) {
+    if (sentIn == epoch && scheduler != null) {
+      perform(scheduler.startAnswered(order.run(), StartAnswer.NO_ANSWER, 0, present()));
+    }
+  }
+
+  private void stopLost(ScopeAction.Stop order, int sentIn) {
+    if (sentIn == epoch && scheduler != null) {
+      perform(scheduler.stopAnswered(order.run(), StopAnswer.NO_ANSWER, present()));
+    }
+  }
+
+  private void lookLost(ScopeAction.Look order, int sentIn) {
+    if (sentIn == epoch && scheduler != null) {
+      LookAnswer none = LookAnswer.without(LookAnswer.Kind.NO_ANSWER);
+      perform(scheduler.lookAnswered(order.worker(), none, present()));
+    }
+  }
+
   private void answerStart(ScopeAction.Start order, int sentIn) {
     SimulatedWorker worker = reach(order.worker());
     StartAnswer answer = worker == null ? StartAnswer.NO_ANSWER : worker.start(order, now);
@@ -361,7 +403,6 @@
   }
 
   void cancel(String id) {
-    cancelledAt.put(new JobId(id), now);
     propose(new ScopeCommand.Cancel(new JobId(id), now));
   }
 
