--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
@@ -173,7 +173,8 @@
             Kind.START_UNANSWERED, run.id, run.worker.info.key(), "try=" + run.startTries));
     boolean hasTime =
         run.worker.clockAt(present.millis()) + START_MARGIN_MILLIS < run.startDeadline;
-    if (hasTime && run.startTries < MAX_START_TRIES && !run.stopWanted) {
+    boolean isWanted = !run.stopWanted && state.ledger.isOpen(run.id);
+    if (hasTime && run.startTries < MAX_START_TRIES && isWanted) {
       sendStart(run, present.millis());
     } else {
       doubt(run, present.millis());
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/SimulatedWorker.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/SimulatedWorker.java
@@ -11,7 +11,8 @@
 
 /**
  * One lifetime of a worker in virtual time: leases on a clock that may be slow, fencing tokens,
- * gangs that wait for their members, checkpoints, and ends that are listed until they are forgotten.
+ * gangs that wait for their members, checkpoints, and ends that are listed until they are
+ * forgotten.
  */
 final class SimulatedWorker {
 
