--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Placer.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Placer.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.scope.StepSpec;
@@ -22,28 +21,79 @@
 final class Placer {
 
   private final ScopeState state;
+  private final GangHolds holds;
 
-  Placer(ScopeState state) {
+  Placer(ScopeState state, GangHolds holds) {
     this.state = state;
+    this.holds = holds;
   }
 
   /**
-   * Returns a worker for each task that can start now, in the order of the demand's tasks. For a
-   * gang, all tasks or none.
+   * Returns workers for tasks that can start now near to each other and to their data, in the order
+   * of the demand's tasks. For a gang, all tasks or none.
    */
-  List<WorkerSession> place(Demand demand, long nowMillis) {
-    List<WorkerSession> usable = usable(demand, nowMillis);
+  List<WorkerSession> placeNear(Demand demand, long nowMillis) {
     int wanted = demand.tasks().size();
-    if (demand.spec().rackLocal()) {
-      Optional<List<WorkerSession>> rack = placeOnOneRack(demand, usable, wanted);
-      if (rack.isPresent()) {
-        return rack.get();
+    List<WorkerSession> most = List.of();
+    for (List<WorkerSession> group : nearGroups(demand, nowMillis)) {
+      List<WorkerSession> found = fill(demand, group, wanted, nowMillis);
+      if (found.size() == wanted) {
+        return found;
       }
+      most = found.size() > most.size() ? found : most;
     }
-    List<WorkerSession> found = fill(demand, usable, wanted);
+    return demand.spec().gang() ? List.of() : most;
+  }
+
+  /**
+   * Returns workers for tasks that can start now, wherever, in the order of the demand's tasks. For
+   * a gang, all tasks or none.
+   */
+  List<WorkerSession> placeAnywhere(Demand demand, long nowMillis) {
+    int wanted = demand.tasks().size();
+    List<WorkerSession> found = fill(demand, usable(demand, nowMillis), wanted, nowMillis);
     return demand.spec().gang() && found.size() < wanted ? List.of() : found;
   }
 
+  /**
+   * Returns the groups of workers on which the tasks are near to each other and to their data, the
+   * fullest first. Groups that could not hold the step even when empty are left out.
+   */
+  List<List<WorkerSession>> nearGroups(Demand demand, long nowMillis) {
+    StepSpec spec = demand.spec();
+    List<WorkerSession> usable = usable(demand, nowMillis);
+    if (!spec.rackLocal() && spec.dataRack().isEmpty()) {
+      return List.of(usable);
+    }
+    Map<String, List<WorkerSession>> racks = new LinkedHashMap<>();
+    for (WorkerSession worker : usable) {
+      if (!isFarFromData(spec, worker)) {
+        racks.computeIfAbsent(worker.info.rack(), rack -> new ArrayList<>()).add(worker);
+      }
+    }
+    boolean needsAll = spec.gang();
+    return racks.values().stream()
+        .filter(rack -> !needsAll || capacityFor(spec, rack) >= demand.tasks().size())
+        .sorted(Comparator.comparing(Placer::freeAccelerators))
+        .toList();
+  }
+
+  /** Returns how many tasks of a step empty workers hold. */
+  private static long capacityFor(StepSpec spec, List<WorkerSession> workers) {
+    return workers.stream().mapToLong(worker -> capacityFor(spec, worker)).sum();
+  }
+
+  private static long capacityFor(StepSpec spec, WorkerSession worker) {
+    Resources all = worker.info.capacity();
+    Resources task = spec.task();
+    long most = spec.maxPerWorker() == 0 ? spec.count() : spec.maxPerWorker();
+    most = Math.min(most, all.milliCores() / Math.max(1, task.milliCores()));
+    most = Math.min(most, all.memoryMib() / Math.max(1, task.memoryMib()));
+    return task.accelerators() == 0
+        ? most
+        : Math.min(most, all.accelerators() / task.accelerators());
+  }
+
   /** Returns the workers that may take a task of the step at all, whether they have room or not. */
   List<WorkerSession> usable(Demand demand, long nowMillis) {
     return state.sessions.values().stream()
@@ -69,34 +119,18 @@
         && !state.ledger.domainsOut().contains(worker.info.domain());
   }
 
-  private Optional<List<WorkerSession>> placeOnOneRack(
-      Demand demand, List<WorkerSession> usable, int wanted) {
-    Map<String, List<WorkerSession>> racks = new LinkedHashMap<>();
-    for (WorkerSession worker : usable) {
-      racks.computeIfAbsent(worker.info.rack(), rack -> new ArrayList<>()).add(worker);
-    }
-    return racks.entrySet().stream()
-        .sorted(
-            Comparator.comparing(
-                    (Map.Entry<String, List<WorkerSession>> rack) ->
-                        !rack.getKey().equals(demand.spec().dataRack()))
-                .thenComparing(rack -> freeAccelerators(rack.getValue())))
-        .map(rack -> fill(demand, rack.getValue(), wanted))
-        .filter(found -> found.size() == wanted)
-        .findFirst();
-  }
-
   private static int freeAccelerators(List<WorkerSession> workers) {
     return workers.stream().mapToInt(worker -> worker.free().accelerators()).sum();
   }
 
   /** Fills workers one after the other, the tightest first. */
-  private List<WorkerSession> fill(Demand demand, List<WorkerSession> usable, int wanted) {
+  private List<WorkerSession> fill(
+      Demand demand, List<WorkerSession> usable, int wanted, long nowMillis) {
     Map<WorkerSession, Resources> rooms = new HashMap<>();
     Map<WorkerSession, Integer> counts = new HashMap<>();
     List<WorkerSession> candidates = new ArrayList<>();
     for (WorkerSession worker : usable) {
-      if (worker.fits(demand.spec().task())) {
+      if (worker.fits(demand.spec().task()) && !holds.keepsFrom(demand, worker, nowMillis)) {
         rooms.put(worker, worker.free());
         counts.put(worker, (int) worker.tasksOf(demand.key()));
         candidates.add(worker);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -18,9 +18,18 @@
  */
 final class Planner {
 
+  private static final int URGENT = 0;
+
+  /** Gangs that are later than this earn nothing, so nothing is kept free for them. */
+  private static final int WORTH_HOLDING = 1;
+
+  /** Wait for a near place before a far one is taken, as a share of the estimated run time. */
+  private static final int PATIENCE_PERCENT = 100;
+
   private final ScopeState state;
   private final RunOrders orders;
   private final DemandQueue queue;
+  private final GangHolds holds;
   private final Placer placer;
   private final RoomMaker roomMaker;
   private long nextRetryMillis = Long.MAX_VALUE;
@@ -29,7 +38,8 @@
     this.state = state;
     this.orders = orders;
     this.queue = new DemandQueue(state);
-    this.placer = new Placer(state);
+    this.holds = new GangHolds();
+    this.placer = new Placer(state, holds);
     this.roomMaker = new RoomMaker(state, placer);
   }
 
@@ -41,6 +51,7 @@
     }
     state.dirty = false;
     nextRetryMillis = Long.MAX_VALUE;
+    holds.clear();
     List<Placement> placements = new ArrayList<>();
     redeemReservations(placements, present);
     for (Demand demand : queue.waiting(present)) {
@@ -60,18 +71,61 @@
   }
 
   private void plan(Demand demand, List<Placement> placements, Present present) {
-    List<WorkerSession> workers = placer.place(demand, present.millis());
-    for (int i = 0; i < workers.size(); i++) {
-      commit(demand, demand.tasks().get(i), workers.get(i), placements, present);
+    long now = present.millis();
+    boolean isNearOnly = wantsNear(demand) && !placer.nearGroups(demand, now).isEmpty();
+    List<WorkerSession> workers =
+        isNearOnly ? placer.placeNear(demand, now) : placer.placeAnywhere(demand, now);
+    if (workers.isEmpty() && isNearOnly && mayMakeRoom(demand)) {
+      Optional<Reservation> room = roomMaker.makeRoomNear(demand, now);
+      if (room.isPresent()) {
+        reserve(room.get(), present);
+        return;
+      }
     }
-    if (workers.size() == demand.tasks().size()) {
-      report(demand, workers);
-      return;
+    if (workers.isEmpty() && isNearOnly && mayGoFar(demand, now)) {
+      workers = placer.placeAnywhere(demand, now);
+      isNearOnly = false;
+    }
+    if (workers.isEmpty() && !isNearOnly && mayMakeRoom(demand)) {
+      Optional<Reservation> room = roomMaker.makeRoom(demand, now);
+      if (room.isPresent()) {
+        reserve(room.get(), present);
+        return;
+      }
     }
-    if (workers.isEmpty()) {
-      Optional<Reservation> room = roomMaker.makeRoom(demand, present.millis());
-      room.ifPresent(reservation -> reserve(reservation, present));
+    if (!workers.isEmpty()) {
+      commit(demand, workers, placements, present);
+    } else if (demand.spec().gang() && demand.lateness() <= WORTH_HOLDING) {
+      holds.hold(demand, placer.nearGroups(demand, now), now);
+    }
+  }
+
+  private void commit(
+      Demand demand, List<WorkerSession> workers, List<Placement> placements, Present present) {
+    for (int i = 0; i < workers.size(); i++) {
+      commit(demand, demand.tasks().get(i), workers.get(i), placements, present);
     }
+    state.farAllowedAt.remove(demand.key());
+    report(demand, workers);
+  }
+
+  private static boolean mayMakeRoom(Demand demand) {
+    return demand.priority() == URGENT
+        || (demand.spec().gang() && demand.lateness() <= WORTH_HOLDING);
+  }
+
+  private static boolean wantsNear(Demand demand) {
+    return demand.spec().rackLocal() || !demand.spec().dataRack().isEmpty();
+  }
+
+  /**
+   * A task far from its data takes several times as long, so waiting for a place near it is better
+   * for about as long as the task runs. Urgent work that found no near room goes far at once.
+   */
+  private boolean mayGoFar(Demand demand, long nowMillis) {
+    long patience = demand.spec().estimatedMillis() * PATIENCE_PERCENT / 100;
+    long allowedAt = state.farAllowedAt.computeIfAbsent(demand.key(), key -> nowMillis + patience);
+    return demand.priority() == URGENT || nowMillis >= allowedAt;
   }
 
   private void report(Demand demand, List<WorkerSession> workers) {
@@ -80,7 +134,14 @@
         ScopeEvent.of(
             Kind.PLACED,
             demand.key(),
-            "tasks=" + workers.size() + " racks=" + racks + " lateness=" + demand.lateness()));
+            "tasks="
+                + workers.size()
+                + " of="
+                + demand.tasks().size()
+                + " racks="
+                + racks
+                + " lateness="
+                + demand.lateness()));
   }
 
   private void commit(
@@ -176,6 +237,12 @@
       }
     }
     state.notBefore.values().removeIf(time -> time <= present.millis());
+    state.farAllowedAt.keySet().removeIf(step -> state.ledger.step(step) == null);
+    for (long time : state.farAllowedAt.values()) {
+      if (time > present.millis()) {
+        next = Math.min(next, time);
+      }
+    }
     for (Reservation reservation : state.reservations.values()) {
       next = Math.min(next, reservation.untilMillis());
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Reservation.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Reservation.java
@@ -10,7 +10,12 @@
  * @param demand step that the room is for
  * @param workers a worker for each task of the demand, in its order
  * @param victims runs that have to end first
+ * @param cost unsaved work of the victims, in core-seconds, and what their priority adds
  * @param untilMillis time after which the room is given up
  */
 record Reservation(
-    Demand demand, List<WorkerSession> workers, Set<RunId> victims, long untilMillis) {}
+    Demand demand,
+    List<WorkerSession> workers,
+    Set<RunId> victims,
+    double cost,
+    long untilMillis) {}
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
@@ -29,6 +29,15 @@
 
   private static final int URGENT = 0;
 
+  /** Most unsaved work that work of lower urgency may destroy, as a share of its own. */
+  private static final double MOST_LOST = 0.25;
+
+  /** Added to the cost of a worker far from the data, in core-seconds. */
+  private static final double FAR_COST = 1_000;
+
+  /** Added to the cost of stopping urgent work, in core-seconds: it gives way last. */
+  private static final double URGENT_VICTIM_COST = 100_000;
+
   /** A worker with the tasks it can take and the runs that have to end there first. */
   private record Offer(WorkerSession worker, Set<RunControl> victims, double cost) {}
 
@@ -40,17 +49,30 @@
     this.placer = placer;
   }
 
-  /** Returns room for all tasks of an urgent demand, or nothing where none can be made. */
+  /**
+   * Returns room for all tasks of a demand near to each other and to their data, or nothing where
+   * none can be made.
+   */
+  Optional<Reservation> makeRoomNear(Demand demand, long nowMillis) {
+    return placer.nearGroups(demand, nowMillis).stream()
+        .map(group -> makeRoom(demand, group, nowMillis))
+        .flatMap(Optional::stream)
+        .min(Comparator.comparingDouble(Reservation::cost));
+  }
+
+  /** Returns room for all tasks of a demand, or nothing where none can be made. */
   Optional<Reservation> makeRoom(Demand demand, long nowMillis) {
-    if (demand.priority() != URGENT) {
-      return Optional.empty();
-    }
+    return makeRoom(demand, placer.usable(demand, nowMillis), nowMillis);
+  }
+
+  private Optional<Reservation> makeRoom(
+      Demand demand, List<WorkerSession> usable, long nowMillis) {
     Guarantees guarantees = new Guarantees(demand);
     Map<WorkerSession, Resources> freed = new HashMap<>();
     Map<WorkerSession, Integer> counts = new HashMap<>();
     Set<RunControl> victims = new LinkedHashSet<>();
     List<WorkerSession> chosen = new ArrayList<>();
-    List<WorkerSession> usable = placer.usable(demand, nowMillis);
+    double cost = 0;
     for (int i = 0; i < demand.tasks().size(); i++) {
       Optional<Offer> best =
           usable.stream()
@@ -62,11 +84,25 @@
       }
       take(best.get(), demand.spec().task(), victims, freed, counts);
       chosen.add(best.get().worker());
+      cost += best.get().cost();
+    }
+    boolean isTooDear = demand.priority() != URGENT && cost > MOST_LOST * workOf(demand);
+    if (isTooDear) {
+      return Optional.empty();
     }
     Set<RunId> ids = new LinkedHashSet<>();
     victims.forEach(victim -> ids.add(victim.id));
     long until = nowMillis + 2 * state.settings.stopTimeoutMillis() + state.settings.lookMillis();
-    return Optional.of(new Reservation(demand, chosen, ids, until));
+    return Optional.of(new Reservation(demand, chosen, ids, cost, until));
+  }
+
+  /** Returns the work that a demand is estimated to do, in core-seconds. */
+  private static double workOf(Demand demand) {
+    StepSpec spec = demand.spec();
+    double cores =
+        spec.task().milliCores() / 1_000.0
+            + WorkerSession.CORES_PER_ACCELERATOR * spec.task().accelerators();
+    return cores * demand.tasks().size() * spec.estimatedMillis() / 1_000.0;
   }
 
   private void take(
@@ -110,7 +146,7 @@
           continue;
         }
         Collection<RunControl> together = stoppedWith(candidate);
-        cost += together.stream().mapToDouble(run -> run.unsavedCoreSeconds(nowMillis)).sum();
+        cost += guarantees.costOf(together, nowMillis);
         for (RunControl run : together) {
           boolean isNew = !victims.contains(run) && extra.add(run);
           if (isNew && run.worker == worker) {
@@ -126,8 +162,8 @@
       }
     }
     boolean isFar = Placer.isFarFromData(spec, worker);
-    double spare = worker.free().accelerators();
-    return Optional.of(new Offer(worker, extra, cost + (isFar ? 1_000 : 0) + spare / 1_000));
+    double spare = worker.free().accelerators() / 1_000.0;
+    return Optional.of(new Offer(worker, extra, cost + (isFar ? FAR_COST : 0) + spare));
   }
 
   private List<RunControl> candidates(
@@ -139,11 +175,7 @@
       if (mayStop && guarantees.mayStop(run)) {
         found.add(run);
         costs.computeIfAbsent(
-            run.id.task().stepKey(),
-            step ->
-                stoppedWith(run).stream()
-                    .mapToDouble(each -> each.unsavedCoreSeconds(nowMillis))
-                    .sum());
+            run.id.task().stepKey(), step -> guarantees.costOf(stoppedWith(run), nowMillis));
       }
     }
     found.sort(
@@ -156,7 +188,7 @@
     return run.spec.gang() ? state.runsOf(run.id.task().stepKey()) : List.of(run);
   }
 
-  private static Resources times(Resources one, int count) {
+  static Resources times(Resources one, int count) {
     return new Resources(
         one.milliCores() * count, one.memoryMib() * count, one.accelerators() * count);
   }
@@ -164,11 +196,13 @@
   /** Which runs may be stopped for a demand, by priority and by the customers' guarantees. */
   private final class Guarantees {
 
+    private final int priority;
     private final CustomerId claimant;
     private final boolean isWithin;
     private final Map<CustomerId, Integer> used = new HashMap<>();
 
     Guarantees(Demand demand) {
+      this.priority = demand.priority();
       this.claimant = demand.job().job().customer();
       for (RunControl run : state.runs.values()) {
         if (priorityOf(run.job) == URGENT && run.job.job().customer() != null) {
@@ -181,9 +215,12 @@
     }
 
     boolean mayStop(RunControl run) {
-      if (priorityOf(run.job) > URGENT) {
+      if (priorityOf(run.job) > priority) {
         return true;
       }
+      if (priority != URGENT || priorityOf(run.job) != URGENT) {
+        return false;
+      }
       CustomerId owner = run.job.job().customer();
       if (!isWithin || owner == null || owner.equals(claimant)) {
         return false;
@@ -193,6 +230,15 @@
       return used.getOrDefault(owner, 0) > guaranteed;
     }
 
+    double costOf(Collection<RunControl> runs, long nowMillis) {
+      double cost = 0;
+      for (RunControl run : runs) {
+        boolean isUrgent = priorityOf(run.job) == URGENT;
+        cost += run.unsavedCoreSeconds(nowMillis) + (isUrgent ? URGENT_VICTIM_COST : 0);
+      }
+      return cost;
+    }
+
     private int priorityOf(JobEntry job) {
       return state
           .ledger
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -34,6 +34,7 @@
   final Map<RunId, RunControl> runs = new LinkedHashMap<>();
   final Map<StepKey, Reservation> reservations = new LinkedHashMap<>();
   final Map<StepKey, Long> notBefore = new HashMap<>();
+  final Map<StepKey, Long> farAllowedAt = new HashMap<>();
   final Map<StepKey, Set<WorkerKey>> failedOn = new HashMap<>();
   private final Map<StepKey, Integer> proposedRuns = new HashMap<>();
   private final Set<TaskKey> proposedTasks = new HashSet<>();
@@ -53,6 +54,7 @@
     runs.clear();
     reservations.clear();
     notBefore.clear();
+    farAllowedAt.clear();
     failedOn.clear();
     proposedRuns.clear();
     proposedTasks.clear();
