Only urgent work stops others, at a cost that counts restarts and whole gangs

Change: priority 1 waits behind its holds; the cost of a stop has the restart and counts a gang twice; urgent work beyond its guarantee may cost three times its own work at most.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -110,8 +110,7 @@
   }
 
   private static boolean mayMakeRoom(Demand demand) {
-    return demand.priority() == URGENT
-        || (demand.spec().gang() && demand.lateness() <= WORTH_HOLDING);
+    return demand.priority() == URGENT;
   }
 
   private static boolean wantsNear(Demand demand) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
@@ -29,8 +29,17 @@
 
   private static final int URGENT = 0;
 
-  /** Most unsaved work that work of lower urgency may destroy, as a share of its own. */
-  private static final double MOST_LOST = 0.25;
+  /**
+   * Most that urgent work beyond its customer's guarantee may cost others, as a multiple of its own
+   * work.
+   */
+  private static final double MOST_LOST = 3.0;
+
+  /** Time that a stop and a later start cost a run beside its unsaved work, in seconds. */
+  private static final double RESTART_SECONDS = 0.6;
+
+  /** A gang that is stopped has to gather all its workers again. */
+  private static final double GANG_FACTOR = 2.0;
 
   /** Added to the cost of a worker far from the data, in core-seconds. */
   private static final double FAR_COST = 1_000;
@@ -86,8 +95,7 @@
       chosen.add(best.get().worker());
       cost += best.get().cost();
     }
-    boolean isTooDear = demand.priority() != URGENT && cost > MOST_LOST * workOf(demand);
-    if (isTooDear) {
+    if (!guarantees.isWithin && cost > MOST_LOST * workOf(demand)) {
       return Optional.empty();
     }
     Set<RunId> ids = new LinkedHashSet<>();
@@ -196,13 +204,11 @@
   /** Which runs may be stopped for a demand, by priority and by the customers' guarantees. */
   private final class Guarantees {
 
-    private final int priority;
     private final CustomerId claimant;
     private final boolean isWithin;
     private final Map<CustomerId, Integer> used = new HashMap<>();
 
     Guarantees(Demand demand) {
-      this.priority = demand.priority();
       this.claimant = demand.job().job().customer();
       for (RunControl run : state.runs.values()) {
         if (priorityOf(run.job) == URGENT && run.job.job().customer() != null) {
@@ -215,12 +221,9 @@
     }
 
     boolean mayStop(RunControl run) {
-      if (priorityOf(run.job) > priority) {
+      if (priorityOf(run.job) > URGENT) {
         return true;
       }
-      if (priority != URGENT || priorityOf(run.job) != URGENT) {
-        return false;
-      }
       CustomerId owner = run.job.job().customer();
       if (!isWithin || owner == null || owner.equals(claimant)) {
         return false;
@@ -234,7 +237,9 @@
       double cost = 0;
       for (RunControl run : runs) {
         boolean isUrgent = priorityOf(run.job) == URGENT;
-        cost += run.unsavedCoreSeconds(nowMillis) + (isUrgent ? URGENT_VICTIM_COST : 0);
+        double lost = run.unsavedCoreSeconds(nowMillis) + RESTART_SECONDS * run.weight();
+        cost += (run.spec.gang() ? GANG_FACTOR : 1) * lost;
+        cost += isUrgent ? URGENT_VICTIM_COST : 0;
       }
       return cost;
     }
