--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -313,9 +313,9 @@
   /** A gang resumes from one checkpoint, whichever member it came from. */
   private void saveCheckpoint(StepRecord step, int index, String checkpoint) {
     if (step.spec().gang()) {
-      step.tasks().forEach(task -> task.checkpoint(checkpoint));
+      step.tasks().forEach(task -> task.saveCheckpoint(checkpoint));
     } else {
-      step.task(index).checkpoint(checkpoint);
+      step.task(index).saveCheckpoint(checkpoint);
     }
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/TaskRecord.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/TaskRecord.java
@@ -117,7 +117,7 @@
     failures++;
   }
 
-  void checkpoint(String saved) {
+  void saveCheckpoint(String saved) {
     checkpoint = saved;
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -103,7 +103,7 @@
   private void commit(
       Demand demand, List<WorkerSession> workers, List<Placement> placements, Present present) {
     for (int i = 0; i < workers.size(); i++) {
-      commit(demand, demand.tasks().get(i), workers.get(i), placements, present);
+      commitTask(demand, demand.tasks().get(i), workers.get(i), placements, present);
     }
     state.farAllowedAt.remove(demand.key());
     report(demand, workers);
@@ -143,7 +143,7 @@
                 + demand.lateness()));
   }
 
-  private void commit(
+  private void commitTask(
       Demand demand, int index, WorkerSession worker, List<Placement> placements, Present present) {
     TaskKey task = demand.key().task(index);
     RunId id = new RunId(task, demand.attemptOf(index));
@@ -209,7 +209,7 @@
         continue;
       }
       int index = demand.tasks().get(i);
-      commit(demand, index, workers.get(i), placements, present);
+      commitTask(demand, index, workers.get(i), placements, present);
       added.add(state.runs.get(new RunId(demand.key().task(index), demand.attemptOf(index))));
     }
     boolean isPartial = demand.spec().gang() && added.size() < workers.size();
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
@@ -103,7 +103,7 @@
     worker.longestDeadline = Math.max(worker.longestDeadline, run.startDeadline);
     StepRecord step = state.ledger.step(run.id.task().stepKey());
     TaskRecord task = step.task(run.id.task().index());
-    state.add(
+    state.emit(
         new ScopeAction.Start(
             worker.info.key(),
             worker.info.address(),
@@ -224,7 +224,7 @@
   private void sendStop(RunControl run, long nowMillis) {
     run.stopInFlight = true;
     run.nextStopMillis = nowMillis + STOP_RETRY_MILLIS;
-    state.add(
+    state.emit(
         new ScopeAction.Stop(run.worker.info.key(), run.worker.info.address(), run.id, state.term));
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -103,7 +103,7 @@
 
   // Actions
 
-  void add(ScopeAction action) {
+  void emit(ScopeAction action) {
     actions.add(action);
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -55,12 +55,12 @@
     boolean renews = hasRuns && worker.knowsClock() && !worker.left;
     long deadline = renews ? worker.clockAt(now) + state.settings.leaseMillis() : 0;
     worker.longestDeadline = Math.max(worker.longestDeadline, deadline);
-    boolean waits = hasRuns && worker.confirmed && worker.lookFailures == 0;
     long lastEnd = recorded(worker);
     worker.lookInFlight = true;
     worker.lookSentMillis = now;
     worker.toldEnd = Math.max(worker.toldEnd, lastEnd);
-    state.add(
+    boolean waits = hasRuns && worker.confirmed && worker.lookFailures == 0;
+    state.emit(
         new ScopeAction.Look(
             worker.info.key(),
             worker.info.address(),
@@ -186,7 +186,7 @@
     }
     unknownRuns.put(run, nowMillis);
     state.report(ScopeEvent.of(Kind.UNKNOWN_RUN, run, worker.info.key(), ""));
-    state.add(new ScopeAction.Stop(worker.info.key(), worker.info.address(), run, state.term));
+    state.emit(new ScopeAction.Stop(worker.info.key(), worker.info.address(), run, state.term));
   }
 
   /** Finds runs that the worker should have and does not list. */
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeSchedulerTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.job.Resources;
 
 class ScopeSchedulerTest {
@@ -52,12 +53,11 @@
     StepSpec filler = step(32, ONE).checkpoints(true).build();
     world.submit("filler", 2, "second", List.of(filler), 20_000);
     world.run(3_000);
-    long asked = world.now;
+    final long asked = world.now;
     world.submit("urgent", 0, "first", List.of(step(2, WHOLE_WORKER).gang(true).build()), 1_000);
     world.run(2_900);
-    assertThat(world.firstBegin).containsKey(new org.primrosegauge.core.JobId("urgent"));
-    assertThat(world.firstBegin.get(new org.primrosegauge.core.JobId("urgent")) - asked)
-        .isLessThan(2_900);
+    assertThat(world.firstBegin).containsKey(new JobId("urgent"));
+    assertThat(world.firstBegin.get(new JobId("urgent")) - asked).isLessThan(2_900);
     world.run(60_000);
     assertThat(world.violations).isEmpty();
     assertThat(world.status("filler")).isEqualTo(JobStatus.COMPLETED);
@@ -71,7 +71,7 @@
     world.run(1_000);
     world.submit("claim", 0, "first", List.of(step(2, WHOLE_WORKER).gang(true).build()), 1_000);
     world.run(2_900);
-    assertThat(world.firstBegin).containsKey(new org.primrosegauge.core.JobId("claim"));
+    assertThat(world.firstBegin).containsKey(new JobId("claim"));
   }
 
   @Test
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -0,0 +1,168 @@
+package org.primrosegauge.node.scope;
+
+import java.util.List;
+import org.primrosegauge.core.scope.LookAnswer;
+import org.primrosegauge.core.scope.Present;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeResult;
+import org.primrosegauge.core.scope.ScopeScheduler;
+import org.primrosegauge.core.scope.StartAnswer;
+import org.primrosegauge.core.scope.StopAnswer;
+import org.primrosegauge.core.scope.WorkerKey;
+import org.primrosegauge.node.duty.MonotonicClock;
+import org.primrosegauge.node.log.ReplicatedLog;
+import org.primrosegauge.node.log.SealedCodec;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import reactor.core.publisher.Mono;
+
+/**
+ * Hands events to the scheduler with the present, and carries out what it decides.
+ *
+ * <p>Orders leave only if this replica led under a valid lease at the present that the decision was
+ * made with: a later leader cannot have taken office before that. Used on the log thread; answers
+ * of workers are handed to it.
+ */
+final class SchedulerRunner {
+
+  private static final Logger LOG = LoggerFactory.getLogger(SchedulerRunner.class);
+
+  /** Something that happened, as a call of the scheduler. */
+  @FunctionalInterface
+  interface Event {
+
+    /** Hands the event in and returns what is to be done. */
+    List<ScopeAction> handTo(ScopeScheduler scheduler, Present present);
+  }
+
+  private final ScopeScheduler scheduler;
+  private final ReplicatedLog<ScopeResult> log;
+  private final SealedCodec codec;
+  private final MonotonicClock clock;
+  private final MonotonicClock wallClock;
+  private final WorkerOrders workers;
+  private final ScopeEventLog events;
+
+  SchedulerRunner(
+      ScopeScheduler scheduler,
+      ReplicatedLog<ScopeResult> log,
+      SealedCodec codec,
+      ScopeDuty.Ports ports) {
+    this.scheduler = scheduler;
+    this.log = log;
+    this.codec = codec;
+    this.clock = ports.clock();
+    this.wallClock = ports.wallClock();
+    this.workers = ports.workers();
+    this.events = ports.events();
+  }
+
+  // Office
+
+  /** Tells whether the scheduler decides. */
+  boolean isInOffice() {
+    return scheduler.isInOffice();
+  }
+
+  /** Lets the scheduler decide once this replica leads and holds all that is committed. */
+  void takeOfficeIfDue() {
+    boolean isDue =
+        log.isLeader() && !scheduler.isInOffice() && log.isAuthoritative(clock.nowMillis());
+    if (isDue) {
+      events.office(true, log.term());
+      run((leader, present) -> leader.takeOffice(log.term(), present));
+    }
+  }
+
+  /** Ends the scheduler's decisions when this replica leads no longer. */
+  void leaveOfficeIfDue() {
+    if (scheduler.isInOffice() && !log.isLeader()) {
+      scheduler.leaveOffice();
+      events.office(false, log.term());
+    }
+  }
+
+  // Events
+
+  /** Hands an event in and carries out what follows. */
+  void run(Event event) {
+    Present present = present();
+    perform(event.handTo(scheduler, present), present);
+  }
+
+  private Present present() {
+    return new Present(clock.nowMillis(), wallClock.nowMillis());
+  }
+
+  private void perform(List<ScopeAction> actions, Present present) {
+    boolean mayOrder = actions.isEmpty() || log.isAuthoritative(present.millis());
+    for (ScopeAction action : actions) {
+      if (action instanceof ScopeAction.Propose propose) {
+        proposeForScheduler(propose.command());
+      } else if (action instanceof ScopeAction.Report report) {
+        events.decided(report.event());
+      } else if (action instanceof ScopeAction.Start order) {
+        start(order, mayOrder);
+      } else if (action instanceof ScopeAction.Stop order) {
+        stop(order, mayOrder);
+      } else if (action instanceof ScopeAction.Look order) {
+        look(order, mayOrder);
+      }
+    }
+  }
+
+  private void proposeForScheduler(ScopeCommand command) {
+    log.propose(codec.write(command))
+        .subscribe(
+            result -> {},
+            error ->
+                log.duty()
+                    .offer(
+                        () -> {
+                          run((leader, present) -> leader.proposalFailed(command, present));
+                        }));
+  }
+
+  private void start(ScopeAction.Start order, boolean mayOrder) {
+    Mono<WorkerOrders.StartReply> reply =
+        mayOrder
+            ? workers.start(order)
+            : Mono.just(new WorkerOrders.StartReply(StartAnswer.NO_ANSWER, 0));
+    reply.subscribe(
+        answered ->
+            later(
+                (leader, present) ->
+                    leader.startAnswered(
+                        order.run(), answered.answer(), answered.clockMillis(), present)));
+  }
+
+  private void stop(ScopeAction.Stop order, boolean mayOrder) {
+    RunId run = order.run();
+    Mono<StopAnswer> reply = mayOrder ? workers.stop(order) : Mono.just(StopAnswer.NO_ANSWER);
+    reply.subscribe(
+        answered -> later((leader, present) -> leader.stopAnswered(run, answered, present)));
+  }
+
+  private void look(ScopeAction.Look order, boolean mayOrder) {
+    WorkerKey worker = order.worker();
+    Mono<LookAnswer> reply =
+        mayOrder ? workers.look(order) : Mono.just(LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
+    reply.subscribe(
+        answered -> later((leader, present) -> leader.lookAnswered(worker, answered, present)));
+  }
+
+  /** Hands an answer to the log thread; it comes from an event loop. */
+  private void later(Event event) {
+    boolean taken =
+        log.duty()
+            .offer(
+                () -> {
+                  run(event);
+                });
+    if (!taken) {
+      LOG.error("an answer of a worker was dropped because the ring of the log is full");
+    }
+  }
+}
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -9,23 +9,17 @@
 import org.primrosegauge.core.InvalidInputException;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.StorageException;
+import org.primrosegauge.core.Term;
 import org.primrosegauge.core.log.LogEntry;
 import org.primrosegauge.core.log.Member;
 import org.primrosegauge.core.log.MembershipChange;
 import org.primrosegauge.core.log.cfg.LogSettings;
 import org.primrosegauge.core.scope.JobEntry;
-import org.primrosegauge.core.scope.LookAnswer;
-import org.primrosegauge.core.scope.Present;
-import org.primrosegauge.core.scope.RunId;
-import org.primrosegauge.core.scope.ScopeAction;
 import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeLedger;
 import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.ScopeScheduler;
 import org.primrosegauge.core.scope.ScopeSnapshot;
-import org.primrosegauge.core.scope.StartAnswer;
-import org.primrosegauge.core.scope.StopAnswer;
-import org.primrosegauge.core.scope.WorkerKey;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.log.AppliedState;
 import org.primrosegauge.node.log.LogStorage;
@@ -56,11 +50,10 @@
 
   private final MonotonicClock clock;
   private final MonotonicClock wallClock;
-  private final WorkerOrders workers;
   private final ScopeEventLog events;
   private final SealedCodec codec = new SealedCodec(ScopeCommand.class);
   private final ScopeLedger ledger;
-  private final ScopeScheduler scheduler;
+  private final SchedulerRunner scheduler;
   private final ScopeCalls calls;
   private final ReplicatedLog<ScopeResult> log;
 
@@ -97,10 +90,8 @@
       throws StorageException {
     this.clock = ports.clock();
     this.wallClock = ports.wallClock();
-    this.workers = ports.workers();
     this.events = ports.events();
     this.ledger = ledger;
-    this.scheduler = scheduler;
     this.calls = new ScopeCalls(ledger);
     this.log =
         new ReplicatedLog<>(
@@ -113,6 +104,7 @@
                 ports.transport(),
                 ports.onStorageFailure()),
             new LedgerState());
+    this.scheduler = new SchedulerRunner(scheduler, log, codec, ports);
     ports.transport().onAsk(Question.class, (from, question) -> answer(question));
     ports.transport().onTell(ScopeMessage.Join.class, (from, join) -> joinRequested(join));
   }
@@ -223,13 +215,11 @@
       events.operatorOrder("domain switch", order.domain() + " out=" + order.isOut());
       return propose(new ScopeCommand.SwitchDomain(order.domain(), order.isOut()));
     } else if (question instanceof ScopeMessage.Heartbeat heartbeat) {
-      Present present = present();
-      perform(scheduler.workerReported(heartbeat.status(), present), present);
+      scheduler.run((leader, present) -> leader.workerReported(heartbeat.status(), present));
       return Mono.just(new ScopeMessage.Done());
     }
     ScopeMessage.WorkerLeft left = (ScopeMessage.WorkerLeft) question;
-    Present present = present();
-    perform(scheduler.workerLeft(left.target(), present), present);
+    scheduler.run((leader, present) -> leader.workerLeft(left.target(), present));
     return Mono.just(new ScopeMessage.Done());
   }
 
@@ -318,83 +308,6 @@
             });
   }
 
-  // Log thread: scheduler
-
-  private Present present() {
-    return new Present(clock.nowMillis(), wallClock.nowMillis());
-  }
-
-  private void perform(List<ScopeAction> actions, Present present) {
-    boolean mayOrder = actions.isEmpty() || log.isAuthoritative(present.millis());
-    for (ScopeAction action : actions) {
-      if (action instanceof ScopeAction.Propose propose) {
-        proposeForScheduler(propose.command());
-      } else if (action instanceof ScopeAction.Report report) {
-        events.decided(report.event());
-      } else if (action instanceof ScopeAction.Start order) {
-        start(order, mayOrder);
-      } else if (action instanceof ScopeAction.Stop order) {
-        stop(order, mayOrder);
-      } else if (action instanceof ScopeAction.Look order) {
-        look(order, mayOrder);
-      }
-    }
-  }
-
-  private void proposeForScheduler(ScopeCommand command) {
-    log.propose(codec.write(command))
-        .subscribe(
-            result -> {},
-            error ->
-                log.duty()
-                    .offer(
-                        () -> {
-                          Present present = present();
-                          perform(scheduler.proposalFailed(command, present), present);
-                        }));
-  }
-
-  private void start(ScopeAction.Start order, boolean mayOrder) {
-    Mono<WorkerOrders.StartReply> reply =
-        mayOrder
-            ? workers.start(order)
-            : Mono.just(new WorkerOrders.StartReply(StartAnswer.NO_ANSWER, 0));
-    reply.subscribe(
-        answered ->
-            later(
-                present ->
-                    scheduler.startAnswered(
-                        order.run(), answered.answer(), answered.clockMillis(), present)));
-  }
-
-  private void stop(ScopeAction.Stop order, boolean mayOrder) {
-    RunId run = order.run();
-    Mono<StopAnswer> reply = mayOrder ? workers.stop(order) : Mono.just(StopAnswer.NO_ANSWER);
-    reply.subscribe(answered -> later(present -> scheduler.stopAnswered(run, answered, present)));
-  }
-
-  private void look(ScopeAction.Look order, boolean mayOrder) {
-    WorkerKey worker = order.worker();
-    Mono<LookAnswer> reply =
-        mayOrder ? workers.look(order) : Mono.just(LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
-    reply.subscribe(
-        answered -> later(present -> scheduler.lookAnswered(worker, answered, present)));
-  }
-
-  /** Hands an answer to the log thread; it comes from an event loop. */
-  private void later(java.util.function.Function<Present, List<ScopeAction>> event) {
-    boolean taken =
-        log.duty()
-            .offer(
-                () -> {
-                  Present present = present();
-                  perform(event.apply(present), present);
-                });
-    if (!taken) {
-      LOG.error("an answer of a worker was dropped because the ring of the log is full");
-    }
-  }
-
   /** The ledger as the state of the log. */
   private final class LedgerState implements AppliedState<ScopeResult> {
 
@@ -402,11 +315,10 @@
     public ScopeResult apply(LogEntry entry) throws WireException {
       ScopeCommand command = codec.read(entry.command(), ScopeCommand.class);
       ScopeResult result = ledger.apply(command);
-      Present present = present();
       if (scheduler.isInOffice()) {
         events.applied(command);
       }
-      perform(scheduler.applied(command, present), present);
+      scheduler.run((leader, present) -> leader.applied(command, present));
       return result;
     }
 
@@ -422,33 +334,19 @@
 
     @Override
     public void changed(long applied) {
-      enterOfficeIfDue();
+      scheduler.takeOfficeIfDue();
     }
 
     @Override
-    public void leaderChanged(InstanceId leader, org.primrosegauge.core.Term term) {
+    public void leaderChanged(InstanceId leader, Term term) {
       events.leaderChanged(leader, term);
-      if (scheduler.isInOffice() && !log.isLeader()) {
-        scheduler.leaveOffice();
-        events.office(false, term);
-      }
+      scheduler.leaveOfficeIfDue();
     }
 
     @Override
     public void tick(long nowMillis) {
-      enterOfficeIfDue();
-      Present present = present();
-      perform(scheduler.tick(present), present);
-    }
-
-    private void enterOfficeIfDue() {
-      boolean isDue =
-          log.isLeader() && !scheduler.isInOffice() && log.isAuthoritative(clock.nowMillis());
-      if (isDue) {
-        Present present = present();
-        events.office(true, log.term());
-        perform(scheduler.takeOffice(log.term(), present), present);
-      }
+      scheduler.takeOfficeIfDue();
+      scheduler.run(ScopeScheduler::tick);
     }
   }
 
