A gang stops at once when one member's start is in doubt; questions to the leader are sent again

Change: a start in doubt stops the whole gang; questions, which change nothing when they come twice, are sent again while the one who asks waits, and are never refused once one may have been carried out; accepted connections close with the transport.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
@@ -156,7 +156,7 @@
       setAside(worker, "an order to start was refused as unwell", present.millis());
     }
     if (run.startUnanswered) {
-      doubt(run, present.millis());
+      doubt(run, present);
     } else {
       neverStarted(run, present);
     }
@@ -177,14 +177,18 @@
     if (hasTime && run.startTries < MAX_START_TRIES && isWanted) {
       sendStart(run, present.millis());
     } else {
-      doubt(run, present.millis());
+      doubt(run, present);
     }
   }
 
-  private void doubt(RunControl run, long nowMillis) {
+  /** The other members of a gang would wait in vain, and end alone. */
+  private void doubt(RunControl run, Present present) {
     run.phase = RunControl.Phase.IN_DOUBT;
     run.stopWanted = true;
-    sendStop(run, nowMillis);
+    sendStop(run, present.millis());
+    if (run.spec.gang()) {
+      stopGang(run, "start of member " + run.id.task().index() + " is in doubt", present);
+    }
   }
 
   /** Records that a run never began and never will. */
@@ -221,6 +225,15 @@
     }
   }
 
+  /** Stops the members that share a run's attempt. */
+  void stopGang(RunControl run, String why, Present present) {
+    for (RunControl member : state.runsOf(run.id.task().stepKey())) {
+      if (member.id.attempt() == run.id.attempt()) {
+        stop(member, why, present);
+      }
+    }
+  }
+
   private void sendStop(RunControl run, long nowMillis) {
     run.stopInFlight = true;
     run.nextStopMillis = nowMillis + STOP_RETRY_MILLIS;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -177,16 +177,8 @@
       }
     }
     if (run.spec.gang() && !isDone) {
-      stopGang(run, present);
-    }
-  }
-
-  /** A gang that has lost a member cannot go on. */
-  private void stopGang(RunControl lost, Present present) {
-    for (RunControl member : state.runsOf(lost.id.task().stepKey())) {
-      if (member.id.attempt() == lost.id.attempt()) {
-        orders.stop(member, "gang member " + lost.id.task().index() + " ended", present);
-      }
+      // A gang that has lost a member cannot go on.
+      orders.stopGang(run, "gang member " + run.id.task().index() + " ended", present);
     }
   }
 
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeSchedulerTest.java
@@ -110,6 +110,20 @@
     assertThat(world.counts).containsExactly(RunOutcome.DONE, 4);
   }
 
+  /** Found on lfda scale-2: runs ended alone because one member's start went unanswered. */
+  @Test
+  void gangIsStoppedWhenTheStartOfOneMemberStaysUnanswered() {
+    ScopeWorld world = new ScopeWorld(9, 4, true);
+    world.isCalm = false;
+    world.run(2_000);
+    world.cut("w1", 9_000);
+    world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).gang(true).build()), 2_000);
+    world.run(30_000);
+    assertThat(world.violations).isEmpty();
+    assertThat(world.counts).doesNotContainKey(RunOutcome.ALONE);
+    assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
+  }
+
   @Test
   void cutWorkerKeepsItsTaskUntilTheLeaseIsOver() {
     ScopeWorld world = new ScopeWorld(8, 4, true);
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
@@ -34,10 +34,26 @@
   private static final Logger LOG = LoggerFactory.getLogger(ScopeClient.class);
   private static final Duration FIND_TIMEOUT = Duration.ofMillis(600);
   private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
-  private static final int MAX_TRIES = 4;
+  private static final Duration FIND_WAIT = Duration.ofMillis(200);
+
+  /** Longest wait for one answer; a leader that takes longer is frozen or cut off. */
+  private static final long TRY_MILLIS = 800;
+
+  /** Time after which a question that nobody has carried out is refused. */
+  private static final long NOT_RUN_MILLIS = 400;
+
   private static final long CHECK_MILLIS = 500;
   private static final long CONTACT_MILLIS = 1_500;
 
+  /**
+   * A question on its way.
+   *
+   * @param question question
+   * @param refuseMillis when it is refused if nobody has carried it out
+   * @param endMillis when the one who asks waits no longer
+   */
+  private record Call(Question question, long refuseMillis, long endMillis) {}
+
   private record Contact(InstanceId leader, long atMillis) {}
 
   private final InstanceId self;
@@ -121,57 +137,74 @@
   /**
    * Asks the leader.
    *
-   * @param timeout longest wait for the answer of a leader that was reached
+   * @param timeout longest wait
    * @return the answer; {@link ScopeMessage.Refused} with {@link ScopeRefusal#NO_LEADER} when
    *     nothing was carried out; {@link ScopeMessage.Unknown} when it may have been; never fails
    * @since 0.2
    */
   public Mono<Answer> ask(Question question, Duration timeout) {
-    return ask(question, timeout, 1);
+    return Mono.defer(
+        () -> {
+          long now = clock.nowMillis();
+          return ask(new Call(question, now + NOT_RUN_MILLIS, now + timeout.toMillis()), false);
+        });
   }
 
-  private Mono<Answer> ask(Question question, Duration timeout, int tries) {
-    return Mono.defer(() -> askOnce(question, timeout))
+  /**
+   * Asks until there is an answer or the time is over.
+   *
+   * @param maybeDone whether an earlier try may have been carried out, so that a refusal would not
+   *     be true
+   */
+  private Mono<Answer> ask(Call call, boolean maybeDone) {
+    return Mono.defer(() -> askOnce(call))
         .flatMap(
             answer -> {
-              if (!(answer instanceof ScopeMessage.NotLeader refused)) {
-                return Mono.just(answer);
+              if (answer instanceof ScopeMessage.NotLeader refused) {
+                noteLeader(refused.leader());
+                return again(call, maybeDone);
               }
-              noteLeader(refused.leader());
-              return again(question, timeout, tries);
+              return answer instanceof ScopeMessage.Unknown ? again(call, true) : Mono.just(answer);
             })
         .onErrorResume(
             error -> {
-              if (ScopeDuty.isUnavailable(error)) {
-                leader = null;
-                return again(question, timeout, tries);
-              }
-              LOG.warn("a question to the leader stays without an answer: {}", error.getMessage());
-              return Mono.just(new ScopeMessage.Unknown());
+              LOG.debug("asking {} failed: {}", leader, error.getMessage());
+              leader = null;
+              return again(call, maybeDone || !ScopeDuty.isUnavailable(error));
             });
   }
 
-  private Mono<Answer> again(Question question, Duration timeout, int tries) {
-    if (tries >= MAX_TRIES) {
-      return Mono.just(new ScopeMessage.Refused(ScopeRefusal.NO_LEADER));
+  /**
+   * Questions change nothing when they come twice, so one that may have been done is sent again.
+   */
+  private Mono<Answer> again(Call call, boolean maybeDone) {
+    long until = maybeDone ? call.endMillis() : call.refuseMillis();
+    if (clock.nowMillis() + RETRY_PAUSE.toMillis() >= Math.min(until, call.endMillis())) {
+      return Mono.just(
+          maybeDone
+              ? new ScopeMessage.Unknown()
+              : new ScopeMessage.Refused(ScopeRefusal.NO_LEADER));
     }
     Mono<Void> found = leader == null ? find() : Mono.empty();
     return found
+        .timeout(FIND_WAIT, Mono.empty())
         .then(Mono.delay(RETRY_PAUSE))
-        .then(Mono.defer(() -> ask(question, timeout, tries + 1)));
+        .then(Mono.defer(() -> ask(call, maybeDone)));
   }
 
-  private Mono<Answer> askOnce(Question question, Duration timeout) {
+  private Mono<Answer> askOnce(Call call) {
     InstanceId asked = leader;
     if (asked == null) {
       return Mono.error(noLeader());
     }
     ScopeDuty ledger = own;
     if (ledger != null && asked.equals(self)) {
-      return ledger.answer(question);
+      return ledger.answer(call.question());
     }
+    long left = Math.max(1, call.endMillis() - clock.nowMillis());
+    Duration wait = Duration.ofMillis(Math.min(left, TRY_MILLIS));
     return transport
-        .ask(asked, question, Answer.class, timeout)
+        .ask(asked, call.question(), Answer.class, wait)
         .doOnNext(
             answer -> {
               if (!(answer instanceof ScopeMessage.NotLeader)) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -13,6 +13,7 @@
 import org.primrosegauge.core.log.LogEntry;
 import org.primrosegauge.core.log.Member;
 import org.primrosegauge.core.log.MembershipChange;
+import org.primrosegauge.core.log.ReplicaId;
 import org.primrosegauge.core.log.cfg.LogSettings;
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.ScopeCommand;
@@ -196,7 +197,9 @@
     if (question instanceof ScopeMessage.AskLeader) {
       List<InstanceId> members =
           log.membership().members().stream().map(m -> m.replica().instance()).toList();
-      return Mono.just(new ScopeMessage.Leader(log.leader(), members, leads));
+      List<InstanceId> voters =
+          log.membership().voters().stream().map(ReplicaId::instance).toList();
+      return Mono.just(new ScopeMessage.Leader(log.leader(), members, voters, leads));
     }
     if (!leads) {
       return Mono.just(new ScopeMessage.NotLeader(otherLeader()));
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
@@ -98,9 +98,11 @@
    *
    * @param leader leader; null when none is known
    * @param members members of the log
+   * @param voters members that vote
    * @param isAuthoritative whether the sender itself leads and may answer for all
    */
-  record Leader(InstanceId leader, List<InstanceId> members, boolean isAuthoritative)
+  record Leader(
+      InstanceId leader, List<InstanceId> members, List<InstanceId> voters, boolean isAuthoritative)
       implements Answer {}
 
   /**
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
@@ -6,8 +6,11 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -79,6 +82,7 @@
       new ConcurrentHashMap<>();
   private final Map<Long, MonoSink<Object>> waiting = new ConcurrentHashMap<>();
   private final AtomicLong correlations = new AtomicLong();
+  private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final AtomicLong bytesSent = new AtomicLong();
   private final AtomicLong bytesReceived = new AtomicLong();
   private volatile Function<InstanceId, Optional<PeerAddress>> resolver = peer -> Optional.empty();
@@ -186,6 +190,7 @@
     if (server != null) {
       server.disposeNow();
     }
+    accepted.close();
   }
 
   // Accessors
@@ -300,6 +305,7 @@
   }
 
   private void install(Channel channel, PeerSecurity peerSecurity) {
+    accepted.add(channel);
     installFraming(channel, new FrameReader(this::receive, peerSecurity));
   }
 
--- /dev/null
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
@@ -0,0 +1,249 @@
+package org.primrosegauge.node.scope;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.primrosegauge.core.CustomerId;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.HostPort;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.ServiceId;
+import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.CustomerSpec;
+import org.primrosegauge.core.scope.JobStatus;
+import org.primrosegauge.core.scope.LookAnswer;
+import org.primrosegauge.core.scope.QueueName;
+import org.primrosegauge.core.scope.QueueSpec;
+import org.primrosegauge.core.scope.Recurrence;
+import org.primrosegauge.core.scope.RunEnd;
+import org.primrosegauge.core.scope.RunOutcome;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.ScopeConfiguration;
+import org.primrosegauge.core.scope.StartAnswer;
+import org.primrosegauge.core.scope.StepSpec;
+import org.primrosegauge.core.scope.StopAnswer;
+import org.primrosegauge.core.scope.WorkerInfo;
+import org.primrosegauge.core.scope.WorkerKey;
+import org.primrosegauge.core.scope.WorkerStatus;
+import org.primrosegauge.core.scope.cfg.ScopeSettings;
+import org.primrosegauge.node.scope.cfg.ScopeNodeSettings;
+import reactor.core.publisher.Mono;
+
+/** Whole instances over the loopback interface: three that keep the log, and one that does not. */
+class ScopeInstanceTest {
+
+  private static final List<String> HOSTS = List.of("127.0.0.2", "127.0.0.3", "127.0.0.4");
+  private static final String ENTRY = "127.0.0.5";
+  private static final Duration WAIT = Duration.ofSeconds(2);
+  private static final int PATIENCE_TRIES = 200;
+  private static final CallerAddress JOB = new CallerAddress("host", "/q/00aa", "k1");
+
+  @TempDir Path folder;
+  private final Map<String, ScopeInstance> instances = new LinkedHashMap<>();
+  private final InstantWorker worker = new InstantWorker();
+  private int port;
+
+  @BeforeEach
+  void start() throws Exception {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(ENTRY))) {
+      port = free.getLocalPort();
+    }
+    for (String host : HOSTS) {
+      startInstance(host, true, Optional.of(folder.resolve(host)));
+    }
+    startInstance(ENTRY, true, Optional.empty());
+  }
+
+  @AfterEach
+  void stop() {
+    instances.values().forEach(ScopeInstance::close);
+  }
+
+  private void startInstance(String host, boolean isFirstStart, Optional<Path> data)
+      throws Exception {
+    ScopeNodeSettings settings =
+        new ScopeNodeSettings(
+            new InstanceId(host),
+            port,
+            data,
+            HOSTS.stream().map(InstanceId::new).toList(),
+            isFirstStart,
+            HOSTS.size(),
+            60_000,
+            ScopeSettings.DEFAULT);
+    ScopeInstance instance =
+        new ScopeInstance(
+            settings,
+            worker,
+            failure -> {
+              throw new IllegalStateException(failure);
+            });
+    instances.put(host, instance);
+    instance.start();
+  }
+
+  private ScopeMessage.Answer ask(ScopeMessage.Question question) {
+    return instances.get(ENTRY).client().ask(question, WAIT).block();
+  }
+
+  /** Asks again until the answer is of a type, as callers do. */
+  private <T> T askUntil(ScopeMessage.Question question, Class<T> type) throws Exception {
+    ScopeMessage.Answer answer = ask(question);
+    for (int i = 0; i < PATIENCE_TRIES && !type.isInstance(answer); i++) {
+      Thread.sleep(100);
+      answer = ask(question);
+    }
+    assertWithMessage(answer.toString()).that(answer).isInstanceOf(type);
+    return type.cast(answer);
+  }
+
+  private void configure() throws Exception {
+    QueueSpec queue =
+        new QueueSpec(
+            new QueueName("q"), "host", "/q/", new ServiceId("pool"), 1, 2, 2.0, 100, false);
+    CustomerSpec customer = new CustomerSpec(new CustomerId("c"), List.of("k1"), 8);
+    ScopeConfiguration configuration =
+        new ScopeConfiguration(new Revision(3), List.of(queue), List.of(customer), 1_000);
+    askUntil(new ScopeMessage.Configure(configuration, "the text"), ScopeMessage.Done.class);
+  }
+
+  private void announceWorker() throws Exception {
+    WorkerInfo info =
+        new WorkerInfo(
+            new WorkerKey(new TargetId("w1"), 1),
+            new HostPort("127.0.0.1", 9),
+            new ServiceId("pool"),
+            new FailureDomainId("d1"),
+            new Resources(8_000, 8_000, 8),
+            List.of("a", "r1"),
+            "r1");
+    askUntil(
+        new ScopeMessage.Heartbeat(new WorkerStatus(info, ++worker.sequence, false, 0, 5)),
+        ScopeMessage.Done.class);
+  }
+
+  private static JobSubmission job() {
+    StepSpec step = StepSpec.builder(2).task(new Resources(1_000, 100, 1)).gang(true).build();
+    return new JobSubmission("payload", List.of(step), Recurrence.NONE);
+  }
+
+  private void awaitCompleted() throws Exception {
+    ScopeMessage.State state = null;
+    for (int i = 0; i < PATIENCE_TRIES; i++) {
+      announceWorker();
+      state = askUntil(new ScopeMessage.AskState(JOB), ScopeMessage.State.class);
+      if (state.status() == JobStatus.COMPLETED) {
+        return;
+      }
+      Thread.sleep(100);
+    }
+    assertThat(state.status()).isEqualTo(JobStatus.COMPLETED);
+  }
+
+  @Test
+  void jobRunsThroughAnEntryInstance() throws Exception {
+    configure();
+    announceWorker();
+    askUntil(new ScopeMessage.Submit(JOB, job()), ScopeMessage.Done.class);
+    awaitCompleted();
+    assertThat(worker.started).containsAtLeast("00aa.0.0.0#1", "00aa.0.0.1#1");
+  }
+
+  @Test
+  void refusalsSayWhatIsWrong() throws Exception {
+    configure();
+    assertThat(ask(new ScopeMessage.AskState(new CallerAddress("host", "/x/1", "k1"))))
+        .isEqualTo(new ScopeMessage.Refused(ScopeRefusal.NO_QUEUE));
+    assertThat(ask(new ScopeMessage.Submit(new CallerAddress("host", "/q/1", "bad"), job())))
+        .isEqualTo(new ScopeMessage.Refused(ScopeRefusal.UNKNOWN_KEY));
+    assertThat(ask(new ScopeMessage.AskState(JOB)))
+        .isEqualTo(new ScopeMessage.Refused(ScopeRefusal.UNKNOWN_JOB));
+  }
+
+  @Test
+  void acceptedJobAndConfigurationOutliveTheLeader() throws Exception {
+    configure();
+    askUntil(new ScopeMessage.Submit(JOB, job()), ScopeMessage.Done.class);
+    InstanceId leader = instances.get(ENTRY).client().leader();
+    instances.remove(leader.value()).close();
+    ScopeMessage.Configuration found =
+        askUntil(new ScopeMessage.AskConfiguration(), ScopeMessage.Configuration.class);
+    assertThat(found.content()).isEqualTo("the text");
+    askUntil(new ScopeMessage.Submit(JOB, job()), ScopeMessage.Done.class);
+    awaitCompleted();
+  }
+
+  @Test
+  void voterWithEmptyDiskIsTakenInAgain() throws Exception {
+    configure();
+    String leader = instances.get(ENTRY).client().leader().value();
+    String lost = HOSTS.stream().filter(host -> !host.equals(leader)).findFirst().orElseThrow();
+    instances.remove(lost).close();
+    startInstance(lost, false, Optional.of(folder.resolve(lost + "-new")));
+    awaitReadmission(lost);
+    instances.remove(leader).close();
+    askUntil(new ScopeMessage.Submit(JOB, job()), ScopeMessage.Done.class);
+    awaitCompleted();
+  }
+
+  /** Waits until the store that came back empty has left the voters and is one again. */
+  private void awaitReadmission(String host) throws Exception {
+    InstanceId id = new InstanceId(host);
+    boolean wasLearner = false;
+    for (int i = 0; i < PATIENCE_TRIES * 5; i++) {
+      ScopeMessage.Leader found = askUntil(new ScopeMessage.AskLeader(), ScopeMessage.Leader.class);
+      wasLearner |= !found.voters().contains(id);
+      if (wasLearner && found.voters().contains(id)) {
+        return;
+      }
+      Thread.sleep(5);
+    }
+    assertWithMessage("readmission of " + host).that(wasLearner).isTrue();
+  }
+
+  /** Runs everything at once and reports it as done at the next look. */
+  private static final class InstantWorker implements WorkerOrders {
+
+    private final List<String> started = new ArrayList<>();
+    private final List<LookAnswer.EndedEntry> ended = new ArrayList<>();
+    private long sequence;
+    private long number;
+
+    @Override
+    public synchronized Mono<StartReply> start(ScopeAction.Start order) {
+      if (!started.contains(order.run().toString())) {
+        started.add(order.run().toString());
+        ended.add(
+            new LookAnswer.EndedEntry(++number, new RunEnd(order.run(), RunOutcome.DONE, "")));
+      }
+      return Mono.just(new StartReply(StartAnswer.STARTED, 5));
+    }
+
+    @Override
+    public Mono<StopAnswer> stop(ScopeAction.Stop order) {
+      return Mono.just(StopAnswer.STOPPING);
+    }
+
+    @Override
+    public synchronized Mono<LookAnswer> look(ScopeAction.Look order) {
+      ended.removeIf(entry -> entry.number() <= order.lastEnd());
+      LookAnswer answer = new LookAnswer(LookAnswer.Kind.REPORT, 5, List.of(), ended);
+      return Mono.just(answer).delayElement(Duration.ofMillis(50));
+    }
+  }
+}
