--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepKey.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepKey.java
@@ -20,4 +20,9 @@
   public TaskKey task(int index) {
     return new TaskKey(job, occurrence, step, index);
   }
+
+  @Override
+  public String toString() {
+    return job + "." + occurrence + "." + step;
+  }
 }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
@@ -2,6 +2,7 @@
 
 import static net.logstash.logback.argument.StructuredArguments.kv;
 
+import net.logstash.logback.argument.StructuredArgument;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.scope.ScopeCommand;
@@ -43,14 +44,19 @@
     if (event.run() != null) {
       LOG.info(
           "{} {} {} {}",
-          kv("event", event.kind()),
-          kv("run", event.run()),
-          kv("worker", event.worker()),
+          field("event", event.kind()),
+          field("run", event.run()),
+          field("worker", event.worker()),
           event.detail());
     } else if (event.step() != null) {
-      LOG.info("{} {} {}", kv("event", event.kind()), kv("step", event.step()), event.detail());
+      LOG.info(
+          "{} {} {}", field("event", event.kind()), field("step", event.step()), event.detail());
     } else {
-      LOG.info("{} {} {}", kv("event", event.kind()), kv("worker", event.worker()), event.detail());
+      LOG.info(
+          "{} {} {}",
+          field("event", event.kind()),
+          field("worker", event.worker()),
+          event.detail());
     }
   }
 
@@ -64,21 +70,21 @@
     if (command instanceof ScopeCommand.Submit submit) {
       LOG.info(
           "{} {} {} steps={}",
-          kv("event", "ACCEPTED"),
-          kv("job", submit.job().id()),
-          kv("queue", submit.job().queue()),
+          field("event", "ACCEPTED"),
+          field("job", submit.job().id()),
+          field("queue", submit.job().queue()),
           submit.job().steps().size());
     } else if (command instanceof ScopeCommand.Cancel cancel) {
-      LOG.info("{} {}", kv("event", "CANCELLED"), kv("job", cancel.job()));
+      LOG.info("{} {}", field("event", "CANCELLED"), field("job", cancel.job()));
     } else if (command instanceof ScopeCommand.Configure configure) {
       LOG.info(
           "{} revision={} queues={} customers={}",
-          kv("event", "CONFIGURED"),
+          field("event", "CONFIGURED"),
           configure.configuration().revision(),
           configure.configuration().queues().size(),
           configure.configuration().customers().size());
     } else if (command instanceof ScopeCommand.SwitchDomain order) {
-      LOG.info("{} domain={} out={}", kv("event", "DOMAIN"), order.domain(), order.isOut());
+      LOG.info("{} domain={} out={}", field("event", "DOMAIN"), order.domain(), order.isOut());
     }
   }
 
@@ -88,7 +94,7 @@
    * @since 0.2
    */
   public void operatorOrder(String what, String detail) {
-    LOG.info("{} order={} {}", kv("event", "OPERATOR_ORDER"), what, detail);
+    LOG.info("{} order={} {}", field("event", "OPERATOR_ORDER"), what, detail);
   }
 
   /**
@@ -100,8 +106,8 @@
     metrics.refused("scope", reason);
     LOG.info(
         "{} {} host={} path={}",
-        kv("event", "REFUSED"),
-        kv("reason", reason),
+        field("event", "REFUSED"),
+        field("reason", reason),
         address.host(),
         address.path());
   }
@@ -112,7 +118,7 @@
    * @since 0.2
    */
   public void leaderChanged(InstanceId leader, Term term) {
-    LOG.info("{} leader={} term={}", kv("event", "LEADER"), leader, term);
+    LOG.info("{} leader={} term={}", field("event", "LEADER"), leader, term);
   }
 
   /**
@@ -121,6 +127,11 @@
    * @since 0.2
    */
   public void office(boolean begins, Term term) {
-    LOG.info("{} term={}", kv("event", begins ? "OFFICE_TAKEN" : "OFFICE_LEFT"), term);
+    LOG.info("{} term={}", field("event", begins ? "OFFICE_TAKEN" : "OFFICE_LEFT"), term);
+  }
+
+  /** Returns a field that stands in the message and as a text of its own in the line. */
+  private static StructuredArgument field(String name, Object value) {
+    return kv(name, value.toString());
   }
 }
