--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeChecker.java
@@ -0,0 +1,128 @@
+package org.primrosegauge.core.scope;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.scope.LookAnswer.EndedEntry;
+
+/** Watches what must hold in a {@link ScopeWorld}, from what its workers see alone. */
+final class ScopeChecker {
+
+  private final ScopeWorld world;
+  private final Map<JobId, Long> cancelledAt = new HashMap<>();
+  private final Map<TaskKey, Set<RunId>> present = new HashMap<>();
+  private final Map<TaskKey, Integer> failedNoted = new HashMap<>();
+  private final Set<TaskKey> doneNoted = new HashSet<>();
+  private final Map<RunId, RunOutcome> outcomes = new HashMap<>();
+  private final Map<TaskKey, Set<String>> checkpoints = new HashMap<>();
+  private final Map<RunId, WorkerKey> lapsedEnds = new HashMap<>();
+  final List<String> violations = new ArrayList<>();
+  final Map<RunOutcome, Integer> counts = new TreeMap<>();
+  final Map<JobId, Long> firstBegin = new HashMap<>();
+
+  ScopeChecker(ScopeWorld world) {
+    this.world = world;
+  }
+
+  /** Notes that a cancel was acknowledged. */
+  void cancelled(JobId job) {
+    cancelledAt.putIfAbsent(job, world.now);
+  }
+
+  boolean hasEnded(RunId run) {
+    return outcomes.containsKey(run);
+  }
+
+  /** Returns a new checkpoint of a run, valid for all members of its gang. */
+  String checkpoint(SimulatedWorker.Run run) {
+    String saved = run.id.task().job() + "-" + run.progressMillis;
+    int count = run.spec.gang() ? run.spec.count() : 1;
+    for (int i = 0; i < count; i++) {
+      TaskKey task = run.spec.gang() ? run.id.task().stepKey().task(i) : run.id.task();
+      checkpoints.computeIfAbsent(task, key -> new HashSet<>()).add(saved);
+    }
+    return saved;
+  }
+
+  void began(SimulatedWorker worker, SimulatedWorker.Run run, ScopeAction.Start order) {
+    world.trace("began", run.id + " on " + worker.info.key());
+    TaskKey task = run.id.task();
+    firstBegin.putIfAbsent(task.job(), world.now);
+    Set<RunId> running = present.computeIfAbsent(task, key -> new HashSet<>());
+    if (!running.isEmpty()) {
+      violation(run.id + " begins beside " + running);
+    }
+    running.add(run.id);
+    if (doneNoted.contains(task)) {
+      violation(run.id + " begins after its end as done was noted");
+    }
+    if (failedNoted.getOrDefault(task, 0) >= 3) {
+      violation(run.id + " begins after three failed runs were noted");
+    }
+    if (!order.payload().equals("payload " + task.job())) {
+      violation(run.id + " has another payload");
+    }
+    boolean isOwn =
+        order.checkpoint().isEmpty()
+            || checkpoints.getOrDefault(task, Set.of()).contains(order.checkpoint());
+    if (!isOwn) {
+      violation(run.id + " resumes from a checkpoint that is not its own");
+    }
+    if (!worker.used().fitsIn(worker.info.capacity())) {
+      violation("worker " + worker.info.key() + " is over its capacity");
+    }
+    Long cancelled = cancelledAt.get(task.job());
+    if (cancelled != null && world.now > cancelled + 3_000 && world.lateOrders == 0) {
+      violation(run.id + " begins long after its cancel");
+    }
+    for (int dependency : run.spec.dependsOn()) {
+      StepRecord step = world.ledger.step(new StepKey(task.job(), task.occurrence(), dependency));
+      if (step != null && !step.isDone()) {
+        violation(run.id + " begins before step " + dependency + " is done");
+      }
+    }
+  }
+
+  void ended(SimulatedWorker worker, SimulatedWorker.Run run, RunOutcome outcome) {
+    world.trace("ended", run.id + " " + outcome + " on " + worker.info.key() + " #" + worker.ends);
+    gone(run, outcome);
+    if (outcome == RunOutcome.ALONE && world.isCalm) {
+      violation(run.id + " ended alone");
+    }
+  }
+
+  void gone(SimulatedWorker.Run run, RunOutcome outcome) {
+    outcomes.put(run.id, outcome);
+    counts.merge(outcome, 1, Integer::sum);
+    present.getOrDefault(run.id.task(), new HashSet<>()).remove(run.id);
+  }
+
+  void lapsed(SimulatedWorker worker) {
+    for (EndedEntry entry : worker.ended) {
+      lapsedEnds.put(entry.end().run(), worker.info.key());
+    }
+  }
+
+  /** An end counts as noted unless the lease lapsed since. */
+  void noted(SimulatedWorker worker, EndedEntry entry) {
+    world.trace("noted", entry + " on " + worker.info.key());
+    RunEnd end = entry.end();
+    if (lapsedEnds.containsKey(end.run())) {
+      return;
+    }
+    if (end.outcome() == RunOutcome.DONE) {
+      doneNoted.add(end.run().task());
+    } else if (end.outcome() == RunOutcome.FAILED) {
+      failedNoted.merge(end.run().task(), 1, Integer::sum);
+    }
+  }
+
+  private void violation(String what) {
+    violations.add("at " + world.now + ": " + what);
+  }
+}
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeSchedulerTest.java
@@ -27,9 +27,9 @@
     StepSpec second = step(3, WHOLE_WORKER).dependsOn(List.of(0)).gang(gang).build();
     world.submit("j1", 1, "first", List.of(first, second), 2_000);
     world.run(6_000);
-    assertThat(world.violations).isEmpty();
+    assertThat(world.checker.violations).isEmpty();
     assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
-    assertThat(world.counts).containsExactly(RunOutcome.DONE, 8);
+    assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 8);
   }
 
   @Test
@@ -42,7 +42,7 @@
     world.run(2_000);
     assertThat(world.status("wide")).isEqualTo(JobStatus.QUEUED);
     world.run(5_000);
-    assertThat(world.violations).isEmpty();
+    assertThat(world.checker.violations).isEmpty();
     assertThat(world.status("wide")).isEqualTo(JobStatus.COMPLETED);
   }
 
@@ -56,10 +56,10 @@
     final long asked = world.now;
     world.submit("urgent", 0, "first", List.of(step(2, WHOLE_WORKER).gang(true).build()), 1_000);
     world.run(2_900);
-    assertThat(world.firstBegin).containsKey(new JobId("urgent"));
-    assertThat(world.firstBegin.get(new JobId("urgent")) - asked).isLessThan(2_900);
+    assertThat(world.checker.firstBegin).containsKey(new JobId("urgent"));
+    assertThat(world.checker.firstBegin.get(new JobId("urgent")) - asked).isLessThan(2_900);
     world.run(60_000);
-    assertThat(world.violations).isEmpty();
+    assertThat(world.checker.violations).isEmpty();
     assertThat(world.status("filler")).isEqualTo(JobStatus.COMPLETED);
   }
 
@@ -71,7 +71,7 @@
     world.run(1_000);
     world.submit("claim", 0, "first", List.of(step(2, WHOLE_WORKER).gang(true).build()), 1_000);
     world.run(2_900);
-    assertThat(world.firstBegin).containsKey(new JobId("claim"));
+    assertThat(world.checker.firstBegin).containsKey(new JobId("claim"));
   }
 
   @Test
@@ -93,7 +93,7 @@
     world.poison("bad");
     world.submit("bad", 1, "first", List.of(step(3, ONE).gang(true).build()), 1_000);
     world.run(15_000);
-    assertThat(world.violations).isEmpty();
+    assertThat(world.checker.violations).isEmpty();
     assertThat(world.status("bad")).isEqualTo(JobStatus.FAILED);
   }
 
@@ -105,9 +105,9 @@
     world.run(1_000);
     world.loseLeader(2_000);
     world.run(8_000);
-    assertThat(world.violations).isEmpty();
+    assertThat(world.checker.violations).isEmpty();
     assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
-    assertThat(world.counts).containsExactly(RunOutcome.DONE, 4);
+    assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
   }
 
   /** Found on lfda scale-2: runs ended alone because one member's start went unanswered. */
@@ -119,8 +119,8 @@
     world.cut("w1", 9_000);
     world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).gang(true).build()), 2_000);
     world.run(30_000);
-    assertThat(world.violations).isEmpty();
-    assertThat(world.counts).doesNotContainKey(RunOutcome.ALONE);
+    assertThat(world.checker.violations).isEmpty();
+    assertThat(world.checker.counts).doesNotContainKey(RunOutcome.ALONE);
     assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
   }
 
@@ -133,8 +133,8 @@
     world.run(1_000);
     world.cut("w1", 5_000);
     world.run(10_000);
-    assertThat(world.violations).isEmpty();
+    assertThat(world.checker.violations).isEmpty();
     assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
-    assertThat(world.counts).containsExactly(RunOutcome.DONE, 4);
+    assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
   }
 }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeStateMachineTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeStateMachineTest.java
@@ -44,7 +44,7 @@
       world.switchDomain("d" + domain, false);
     }
     world.run(SETTLE_MILLIS);
-    assertThat(world.violations).isEmpty();
+    assertThat(world.checker.violations).isEmpty();
     for (String id : ids) {
       assertWithMessage(id).that(world.status(id).isFinal()).isTrue();
     }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeWorld.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeWorld.java
@@ -9,7 +9,6 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.primrosegauge.core.CustomerId;
@@ -21,7 +20,6 @@
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.job.Resources;
-import org.primrosegauge.core.scope.LookAnswer.EndedEntry;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
 
 /**
@@ -66,17 +64,8 @@
   private final Map<JobId, ScopeJob> jobs = new LinkedHashMap<>();
   private final Map<JobId, Long> works = new HashMap<>();
   private final Set<JobId> poison = new HashSet<>();
-  private final Map<JobId, Long> cancelledAt = new HashMap<>();
-  private final Map<TaskKey, Set<RunId>> present = new HashMap<>();
-  private final Map<TaskKey, Integer> failedNoted = new HashMap<>();
-  private final Set<TaskKey> doneNoted = new HashSet<>();
   private final Map<StepKey, Integer> wholeAttempt = new HashMap<>();
-  private final Map<RunId, RunOutcome> outcomes = new HashMap<>();
-  private final Map<TaskKey, Set<String>> checkpoints = new HashMap<>();
-  private final Map<RunId, WorkerKey> lapsedEnds = new HashMap<>();
-  final List<String> violations = new ArrayList<>();
-  final Map<RunOutcome, Integer> counts = new TreeMap<>();
-  final Map<JobId, Long> firstBegin = new HashMap<>();
+  final ScopeChecker checker = new ScopeChecker(this);
   final ScopeLedger ledger = new ScopeLedger(1_000_000);
   private ScopeScheduler scheduler;
   private int epoch;
@@ -140,7 +129,7 @@
       return;
     }
     for (SimulatedWorker.Run run : worker.runs.values()) {
-      gone(run, RunOutcome.WORKER_LOST);
+      checker.gone(run, RunOutcome.WORKER_LOST);
     }
     int number = Integer.parseInt(name.substring(1));
     at(now + downMillis, () -> startWorker(name, number));
@@ -202,7 +191,7 @@
   }
 
   /** Prints what names the text given by the property {@code scope.trace}. */
-  private void trace(String what, Object subject) {
+  void trace(String what, Object subject) {
     String text = TRACED == null ? "" : subject.toString();
     if (TRACED != null && text.contains(TRACED)) {
       System.out.println(now + " epoch " + epoch + " " + what + " " + text);
@@ -253,7 +242,7 @@
     trace("commit", command);
     ScopeResult result = ledger.apply(command);
     if (command instanceof ScopeCommand.Cancel cancel && result == ScopeResult.APPLIED) {
-      cancelledAt.putIfAbsent(cancel.job(), now);
+      checker.cancelled(cancel.job());
     }
     if (scheduler != null) {
       perform(scheduler.applied(command, present()));
@@ -471,16 +460,6 @@
     return poison.contains(job);
   }
 
-  String checkpoint(SimulatedWorker.Run run) {
-    String saved = run.id.task().job() + "-" + run.progressMillis;
-    int count = run.spec.gang() ? run.spec.count() : 1;
-    for (int i = 0; i < count; i++) {
-      TaskKey task = run.spec.gang() ? run.id.task().stepKey().task(i) : run.id.task();
-      checkpoints.computeIfAbsent(task, key -> new HashSet<>()).add(saved);
-    }
-    return saved;
-  }
-
   private boolean isThere(RunId id) {
     return workers.values().stream().anyMatch(worker -> worker.runs.containsKey(id));
   }
@@ -504,7 +483,7 @@
   boolean hasGangMemberEnded(SimulatedWorker.Run run) {
     StepKey step = run.id.task().stepKey();
     for (int i = 0; i < run.spec.count(); i++) {
-      if (outcomes.containsKey(new RunId(step.task(i), run.id.attempt()))) {
+      if (checker.hasEnded(new RunId(step.task(i), run.id.attempt()))) {
         return true;
       }
     }
@@ -524,83 +503,4 @@
       }
     }
   }
-
-  // What must hold
-
-  void began(SimulatedWorker worker, SimulatedWorker.Run run, ScopeAction.Start order) {
-    trace("began", run.id + " on " + worker.info.key());
-    TaskKey task = run.id.task();
-    firstBegin.putIfAbsent(task.job(), now);
-    Set<RunId> running = present.computeIfAbsent(task, key -> new HashSet<>());
-    if (!running.isEmpty()) {
-      violation(run.id + " begins beside " + running);
-    }
-    running.add(run.id);
-    if (doneNoted.contains(task)) {
-      violation(run.id + " begins after its end as done was noted");
-    }
-    if (failedNoted.getOrDefault(task, 0) >= 3) {
-      violation(run.id + " begins after three failed runs were noted");
-    }
-    if (!order.payload().equals("payload " + task.job())) {
-      violation(run.id + " has another payload");
-    }
-    boolean isOwn =
-        order.checkpoint().isEmpty()
-            || checkpoints.getOrDefault(task, Set.of()).contains(order.checkpoint());
-    if (!isOwn) {
-      violation(run.id + " resumes from a checkpoint that is not its own");
-    }
-    if (!worker.used().fitsIn(worker.info.capacity())) {
-      violation("worker " + worker.info.key() + " is over its capacity");
-    }
-    Long cancelled = cancelledAt.get(task.job());
-    if (cancelled != null && now > cancelled + 3_000 && lateOrders == 0) {
-      violation(run.id + " begins long after its cancel");
-    }
-    for (int dependency : run.spec.dependsOn()) {
-      StepRecord step = ledger.step(new StepKey(task.job(), task.occurrence(), dependency));
-      if (step != null && !step.isDone()) {
-        violation(run.id + " begins before step " + dependency + " is done");
-      }
-    }
-  }
-
-  void ended(SimulatedWorker worker, SimulatedWorker.Run run, RunOutcome outcome) {
-    trace("ended", run.id + " " + outcome + " on " + worker.info.key() + " #" + worker.ends);
-    gone(run, outcome);
-    if (outcome == RunOutcome.ALONE && isCalm) {
-      violation(run.id + " ended alone");
-    }
-  }
-
-  private void gone(SimulatedWorker.Run run, RunOutcome outcome) {
-    outcomes.put(run.id, outcome);
-    counts.merge(outcome, 1, Integer::sum);
-    present.getOrDefault(run.id.task(), new HashSet<>()).remove(run.id);
-  }
-
-  void lapsed(SimulatedWorker worker) {
-    for (EndedEntry entry : worker.ended) {
-      lapsedEnds.put(entry.end().run(), worker.info.key());
-    }
-  }
-
-  /** An end counts as noted unless the lease lapsed since. */
-  void noted(SimulatedWorker worker, EndedEntry entry) {
-    trace("noted", entry + " on " + worker.info.key());
-    RunEnd end = entry.end();
-    if (lapsedEnds.containsKey(end.run())) {
-      return;
-    }
-    if (end.outcome() == RunOutcome.DONE) {
-      doneNoted.add(end.run().task());
-    } else if (end.outcome() == RunOutcome.FAILED) {
-      failedNoted.merge(end.run().task(), 1, Integer::sum);
-    }
-  }
-
-  private void violation(String what) {
-    violations.add("at " + now + ": " + what);
-  }
 }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/SimulatedWorker.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/SimulatedWorker.java
@@ -112,7 +112,7 @@
             now,
             order.checkpoint());
     runs.put(order.run(), run);
-    world.began(this, run, order);
+    world.checker.began(this, run, order);
     return StartAnswer.STARTED;
   }
 
@@ -140,7 +140,7 @@
     fence = order.term().number();
     for (EndedEntry entry : ended) {
       if (entry.number() <= order.lastEnd()) {
-        world.noted(this, entry);
+        world.checker.noted(this, entry);
       }
     }
     ended.removeIf(entry -> entry.number() <= order.lastEnd());
@@ -170,7 +170,7 @@
       for (Run run : List.copyOf(runs.values())) {
         end(run, RunOutcome.LAPSED);
       }
-      world.lapsed(this);
+      world.checker.lapsed(this);
     }
     for (Run run : List.copyOf(runs.values())) {
       advance(run, now, step);
@@ -182,7 +182,7 @@
       return;
     }
     if (now >= run.stopAtMillis) {
-      run.saved = run.spec.checkpoints() ? world.checkpoint(run) : run.saved;
+      run.saved = run.spec.checkpoints() ? world.checker.checkpoint(run) : run.saved;
       end(run, RunOutcome.STOPPED);
       return;
     }
@@ -200,7 +200,7 @@
     }
     run.progressMillis += step;
     if (run.spec.checkpoints() && run.progressMillis % CHECKPOINT_MILLIS < step) {
-      run.saved = world.checkpoint(run);
+      run.saved = world.checker.checkpoint(run);
     }
     if (run.fails && run.progressMillis > run.workMillis / 3) {
       end(run, RunOutcome.FAILED);
@@ -214,6 +214,6 @@
     barred.merge(run.id.task(), run.id.attempt(), Math::max);
     String saved = outcome == RunOutcome.DONE ? "" : run.saved;
     ended.add(new EndedEntry(++ends, new RunEnd(run.id, outcome, saved)));
-    world.ended(this, run, outcome);
+    world.checker.ended(this, run, outcome);
   }
 }
