--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeChecker.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeChecker.java
@@ -25,6 +25,9 @@
   final Map<RunOutcome, Integer> counts = new TreeMap<>();
   final Map<JobId, Long> firstBegin = new HashMap<>();
 
+  /** Racks on which runs of a job began. */
+  final Map<JobId, Set<String>> racks = new HashMap<>();
+
   ScopeChecker(ScopeWorld world) {
     this.world = world;
   }
@@ -53,6 +56,7 @@
     world.trace("began", run.id + " on " + worker.info.key());
     TaskKey task = run.id.task();
     firstBegin.putIfAbsent(task.job(), world.now);
+    racks.computeIfAbsent(task.job(), job -> new HashSet<>()).add(worker.info.rack());
     Set<RunId> running = present.computeIfAbsent(task, key -> new HashSet<>());
     if (!running.isEmpty()) {
       violation(run.id + " begins beside " + running);
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLoadTest.java
@@ -0,0 +1,105 @@
+package org.primrosegauge.core.scope;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.job.Resources;
+
+/** Replays the loads that decisions under load answer, each with a fixed seed. */
+class ScopeLoadTest {
+
+  private static final Resources ONE = new Resources(4_000, 10_000, 1);
+  private static final Resources WHOLE_WORKER = new Resources(4_000, 10_000, 8);
+  private static final JobId URGENT = new JobId("urgent");
+  private static final JobId WIDE = new JobId("wide");
+
+  private static StepSpec.Builder step(int count, Resources task, long estimatedMillis) {
+    return StepSpec.builder(count).task(task).estimatedMillis(estimatedMillis);
+  }
+
+  /** A fleet full of small tasks: an urgent gang gets room on one rack, not scattered. */
+  @Test
+  void urgentGangStartsOnOneRackOfFullFleet() {
+    ScopeWorld world = new ScopeWorld(21, 9, true);
+    world.run(2_000);
+    world.submit("filler", 2, "second", List.of(step(72, ONE, 9_000).build()), 9_000);
+    world.run(3_000);
+    StepSpec gang = step(2, WHOLE_WORKER, 1_000).gang(true).rackLocal(true).build();
+    world.submit("urgent", 0, "first", List.of(gang), 1_000);
+    world.run(2_900);
+    assertThat(world.checker.racks.get(URGENT)).hasSize(1);
+    assertThat(world.checker.violations).isEmpty();
+  }
+
+  /** Urgent work that has just begun has the least to lose, and yet gives way last. */
+  @Test
+  void urgentWorkDoesNotStopUrgentWorkWhileOtherWorkRuns() {
+    ScopeWorld world = new ScopeWorld(22, 4, true);
+    world.run(2_000);
+    StepSpec whole = step(1, WHOLE_WORKER, 8_000).build();
+    world.submit("old", 2, "second", List.of(whole), 8_000);
+    world.run(3_000);
+    world.submit("loan", 0, "second", List.of(step(3, WHOLE_WORKER, 8_000).build()), 8_000);
+    world.run(300);
+    world.submit("urgent", 0, "first", List.of(step(1, WHOLE_WORKER, 500).build()), 500);
+    world.run(2_900);
+    assertThat(world.checker.firstBegin).containsKey(URGENT);
+    assertThat(world.checker.counts.get(RunOutcome.STOPPED)).isEqualTo(1);
+    assertThat(world.status("old")).isNotEqualTo(JobStatus.COMPLETED);
+  }
+
+  /** Small tasks arrive without end and would take each slot that comes free. */
+  @Test
+  void wideGangStartsBesideAnEndlessStreamOfSmallTasks() {
+    ScopeWorld world = new ScopeWorld(23, 4, true);
+    world.run(2_000);
+    for (int i = 0; i < 60; i++) {
+      int number = i;
+      world.at(
+          world.now + i * 500L,
+          () ->
+              world.submit(
+                  "small" + number, 2, "second", List.of(step(16, ONE, 2_000).build()), 2_000));
+    }
+    world.run(5_000);
+    long asked = world.now;
+    StepSpec gang = step(4, WHOLE_WORKER, 1_000).gang(true).build();
+    world.submit("wide", 1, "first", List.of(gang), 1_000);
+    world.run(6_000);
+    assertThat(world.checker.firstBegin).containsKey(WIDE);
+    assertThat(world.checker.firstBegin.get(WIDE)).isLessThan(asked + 6_000);
+    assertThat(world.checker.violations).isEmpty();
+  }
+
+  /** Gangs of priority 1 that stopped others threw away a tenth of the fleet's work. */
+  @Test
+  void workThatIsNotUrgentStopsNobody() {
+    ScopeWorld world = new ScopeWorld(24, 4, true);
+    world.run(2_000);
+    world.submit("filler", 2, "second", List.of(step(32, ONE, 3_000).build()), 3_000);
+    world.run(1_000);
+    StepSpec gang = step(2, WHOLE_WORKER, 1_000).gang(true).build();
+    world.submit("wide", 1, "first", List.of(gang), 1_000);
+    world.run(8_000);
+    assertThat(world.status("wide")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 34);
+  }
+
+  /** Urgent work beyond its guarantee does not destroy many times its own work. */
+  @Test
+  void urgentWorkBeyondItsGuaranteeWaitsWhereOthersWouldLoseTooMuch() {
+    ScopeWorld world = new ScopeWorld(25, 4, true);
+    world.run(2_000);
+    StepSpec long4 = step(4, WHOLE_WORKER, 20_000).gang(true).build();
+    world.submit("long", 1, "first", List.of(long4), 20_000);
+    world.run(15_000);
+    world.submit("urgent", 0, "second", List.of(step(2, WHOLE_WORKER, 300).build()), 300);
+    world.run(2_000);
+    assertThat(world.checker.firstBegin).doesNotContainKey(URGENT);
+    world.run(8_000);
+    assertThat(world.status("long")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.status("urgent")).isEqualTo(JobStatus.COMPLETED);
+  }
+}
