--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLoadTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLoadTest.java
@@ -64,7 +64,7 @@
                   "small" + number, 2, "second", List.of(step(16, ONE, 2_000).build()), 2_000));
     }
     world.run(5_000);
-    long asked = world.now;
+    final long asked = world.now;
     StepSpec gang = step(4, WHOLE_WORKER, 1_000).gang(true).build();
     world.submit("wide", 1, "first", List.of(gang), 1_000);
     world.run(6_000);
