Scope scheduler: weights, gang companions and guarantees in one place, dead parts out

The weight of a task and the runs that end together stood twice; the guarantees were summed up again for each rack; the scheduler's wake-up time had no caller (the log's duty ticks it), nor had one accessor, one field, one parameter and one setting, whose comments said otherwise. Behaviour stays as it is.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
@@ -161,13 +161,4 @@
     core.tick(present);
     return core.finish(present);
   }
-
-  /**
-   * Returns when {@link #tick} is due next, in milliseconds of the monotonic clock.
-   *
-   * @since 0.2
-   */
-  public long wakeAtMillis(Present present) {
-    return core.wakeAtMillis(present);
-  }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepRecord.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepRecord.java
@@ -92,15 +92,6 @@
     return openTasks;
   }
 
-  /**
-   * Returns the number of tasks that are done.
-   *
-   * @since 0.2
-   */
-  public int doneTasks() {
-    return doneTasks;
-  }
-
   /**
    * Returns how many attempts of the gang ended with a failed member.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/cfg/ScopeSettings.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/cfg/ScopeSettings.java
@@ -7,7 +7,6 @@
  * @param startWindowMillis time after its decision in which a start may still be carried out
  * @param lookMillis longest time that a look at a worker waits for an end
  * @param stopTimeoutMillis longest time that a worker needs to stop a task
- * @param gangTimeoutMillis time after which members of a gang give up waiting for the others
  * @param silenceMillis time without a word from a worker after which it gets nothing new
  * @param stallMillis time without progress after which a run is started again elsewhere
  * @param asideMillis time for which a worker that failed repeatedly gets nothing new
@@ -20,7 +19,6 @@
     long startWindowMillis,
     long lookMillis,
     long stopTimeoutMillis,
-    long gangTimeoutMillis,
     long silenceMillis,
     long stallMillis,
     long asideMillis,
@@ -29,20 +27,19 @@
 
   /** Values for a small site. */
   public static final ScopeSettings DEFAULT =
-      new ScopeSettings(10_000, 2_000, 1_000, 400, 3_000, 4_500, 4_000, 6_000, 200, 2);
+      new ScopeSettings(10_000, 2_000, 1_000, 400, 4_500, 4_000, 6_000, 200, 2);
 
   /**
    * Returns a copy with the times that workers keep to.
    *
    * @since 0.2
    */
-  public ScopeSettings withWorkerTimes(long lease, long stopTimeout, long gangTimeout) {
+  public ScopeSettings withWorkerTimes(long lease, long stopTimeout) {
     return new ScopeSettings(
         lease,
         startWindowMillis,
         lookMillis,
         stopTimeout,
-        gangTimeout,
         silenceMillis,
         stallMillis,
         asideMillis,
@@ -61,7 +58,6 @@
         startWindowMillis,
         lookMillis,
         stopTimeoutMillis,
-        gangTimeoutMillis,
         silence,
         stallMillis,
         asideMillis,
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -65,11 +65,6 @@
     noteRetries(present);
   }
 
-  /** Returns when a step is due that cannot be planned yet. */
-  long wakeAtMillis(Present present) {
-    return nextRetryMillis;
-  }
-
   private void plan(Demand demand, List<Placement> placements, Present present) {
     long now = present.millis();
     boolean isNearOnly = wantsNear(demand) && !placer.nearGroups(demand, now).isEmpty();
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
@@ -63,20 +63,20 @@
    * none can be made.
    */
   Optional<Reservation> makeRoomNear(Demand demand, long nowMillis) {
+    Guarantees guarantees = new Guarantees(demand);
     return placer.nearGroups(demand, nowMillis).stream()
-        .map(group -> makeRoom(demand, group, nowMillis))
+        .map(group -> makeRoom(demand, group, guarantees, nowMillis))
         .flatMap(Optional::stream)
         .min(Comparator.comparingDouble(Reservation::cost));
   }
 
   /** Returns room for all tasks of a demand, or nothing where none can be made. */
   Optional<Reservation> makeRoom(Demand demand, long nowMillis) {
-    return makeRoom(demand, placer.usable(demand, nowMillis), nowMillis);
+    return makeRoom(demand, placer.usable(demand, nowMillis), new Guarantees(demand), nowMillis);
   }
 
   private Optional<Reservation> makeRoom(
-      Demand demand, List<WorkerSession> usable, long nowMillis) {
-    Guarantees guarantees = new Guarantees(demand);
+      Demand demand, List<WorkerSession> usable, Guarantees guarantees, long nowMillis) {
     Map<WorkerSession, Resources> freed = new HashMap<>();
     Map<WorkerSession, Integer> counts = new HashMap<>();
     Set<RunControl> victims = new LinkedHashSet<>();
@@ -91,7 +91,7 @@
       if (best.isEmpty()) {
         return Optional.empty();
       }
-      take(best.get(), demand.spec().task(), victims, freed, counts);
+      take(best.get(), victims, freed, counts);
       chosen.add(best.get().worker());
       cost += best.get().cost();
     }
@@ -107,15 +107,15 @@
   /** Returns the work that a demand is estimated to do, in core-seconds. */
   private static double workOf(Demand demand) {
     StepSpec spec = demand.spec();
-    double cores =
-        spec.task().milliCores() / 1_000.0
-            + WorkerSession.CORES_PER_ACCELERATOR * spec.task().accelerators();
-    return cores * demand.tasks().size() * spec.estimatedMillis() / 1_000.0;
+    return RunControl.weightOf(spec.task())
+        * demand.tasks().size()
+        * spec.estimatedMillis()
+        / 1_000.0;
   }
 
+  /** Notes what an offer takes, for the offers to the tasks after it. */
   private void take(
       Offer offer,
-      Resources need,
       Set<RunControl> victims,
       Map<WorkerSession, Resources> freed,
       Map<WorkerSession, Integer> counts) {
@@ -124,7 +124,6 @@
         freed.merge(victim.worker, victim.spec.task(), Resources::plus);
       }
     }
-    // What is taken is kept as used room: it lessens what the ended runs give back.
     counts.merge(offer.worker(), 1, Integer::sum);
   }
 
@@ -153,7 +152,7 @@
         if (extra.contains(candidate)) {
           continue;
         }
-        Collection<RunControl> together = stoppedWith(candidate);
+        Collection<RunControl> together = state.stoppedWith(candidate);
         cost += guarantees.costOf(together, nowMillis);
         for (RunControl run : together) {
           boolean isNew = !victims.contains(run) && extra.add(run);
@@ -183,7 +182,7 @@
       if (mayStop && guarantees.mayStop(run)) {
         found.add(run);
         costs.computeIfAbsent(
-            run.id.task().stepKey(), step -> guarantees.costOf(stoppedWith(run), nowMillis));
+            run.id.task().stepKey(), step -> guarantees.costOf(state.stoppedWith(run), nowMillis));
       }
     }
     found.sort(
@@ -192,10 +191,6 @@
     return found;
   }
 
-  private Collection<RunControl> stoppedWith(RunControl run) {
-    return run.spec.gang() ? state.runsOf(run.id.task().stepKey()) : List.of(run);
-  }
-
   static Resources times(Resources one, int count) {
     return new Resources(
         one.milliCores() * count, one.memoryMib() * count, one.accelerators() * count);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunControl.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunControl.java
@@ -1,5 +1,6 @@
 package org.primrosegauge.core.scope.impl;
 
+import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.RunId;
 import org.primrosegauge.core.scope.StepSpec;
@@ -11,6 +12,8 @@
  */
 public final class RunControl {
 
+  private static final int CORES_PER_ACCELERATOR = 8;
+
   /** How far a run is. */
   public enum Phase {
     /** The placement is proposed to the log. */
@@ -29,7 +32,6 @@
   final WorkerSession worker;
   final JobEntry job;
   final StepSpec spec;
-  final long placedMillis;
   Phase phase;
   long startDeadline;
   int startTries;
@@ -53,7 +55,6 @@
     this.job = job;
     this.spec = spec;
     this.phase = phase;
-    this.placedMillis = nowMillis;
     this.runningSinceMillis = nowMillis;
     this.progressMillis = nowMillis;
     this.checkpointMillis = nowMillis;
@@ -98,8 +99,12 @@
 
   /** Returns the cores that the run takes, with each accelerator counted as several. */
   double weight() {
-    return spec.task().milliCores() / 1_000.0
-        + WorkerSession.CORES_PER_ACCELERATOR * spec.task().accelerators();
+    return weightOf(spec.task());
+  }
+
+  /** Returns the cores that a task takes, with each accelerator counted as several. */
+  static double weightOf(Resources task) {
+    return task.milliCores() / 1_000.0 + CORES_PER_ACCELERATOR * task.accelerators();
   }
 
   /** Returns an estimate of the time that the run still needs, in milliseconds. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunWatch.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunWatch.java
@@ -101,7 +101,6 @@
   }
 
   private void stopTogether(RunControl run, String why, Present present) {
-    var together = run.spec.gang() ? state.runsOf(run.id.task().stepKey()) : List.of(run);
-    together.forEach(member -> orders.stop(member, why, present));
+    state.stoppedWith(run).forEach(member -> orders.stop(member, why, present));
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -334,19 +334,4 @@
     }
     return state.takeActions();
   }
-
-  /** Returns when {@link #tick} is due next. */
-  public long wakeAtMillis(Present present) {
-    if (!inOffice) {
-      return Long.MAX_VALUE;
-    }
-    long wake = state.runs.isEmpty() ? Long.MAX_VALUE : nextWatchMillis;
-    for (WorkerSession session : state.sessions.values()) {
-      boolean waits = !session.lookInFlight && session.nextLookMillis > present.millis();
-      if (waits && !session.runs.isEmpty()) {
-        wake = Math.min(wake, session.nextLookMillis);
-      }
-    }
-    return Math.min(wake, planner.wakeAtMillis(present));
-  }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -101,6 +101,11 @@
     return runs.values().stream().filter(run -> run.id.task().stepKey().equals(step)).toList();
   }
 
+  /** Returns the runs that end with a run: all members of its gang, or itself. */
+  Collection<RunControl> stoppedWith(RunControl run) {
+    return run.spec.gang() ? runsOf(run.id.task().stepKey()) : List.of(run);
+  }
+
   // Actions
 
   void emit(ScopeAction action) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -15,9 +15,6 @@
  */
 public final class WorkerSession {
 
-  /** Cores that an accelerator counts as when work is weighed. */
-  static final int CORES_PER_ACCELERATOR = 8;
-
   private static final int FAILURES_BEFORE_ASIDE = 2;
   private static final long PERCENT = 100;
 
