--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/fault/FaultMain.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/fault/FaultMain.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.Callable;
 import java.util.stream.Collectors;
 import picocli.CommandLine;
@@ -20,6 +21,7 @@
 public final class FaultMain implements Callable<Integer> {
 
   private enum Part {
+    PORTS,
     PLAN,
     DRIVE,
     CHECK
@@ -30,10 +32,10 @@
   @Parameters(index = "0", description = "One of ${COMPLETION-CANDIDATES}.")
   private Part part;
 
-  @Option(names = "--seed", required = true, description = "Seed of the schedule.")
+  @Option(names = "--seed", defaultValue = "0", description = "Seed of the schedule.")
   private long seed;
 
-  @Option(names = "--folder", required = true, description = "Folder of the run.")
+  @Option(names = "--folder", defaultValue = ".", description = "Folder of the run.")
   private Path folder;
 
   @Option(names = "--base-port", defaultValue = "18400", description = "First of 100 ports.")
@@ -52,12 +54,24 @@
   @Override
   public Integer call() throws IOException, InterruptedException {
     return switch (part) {
+      case PORTS -> ports();
       case PLAN -> plan();
       case DRIVE -> drive();
       case CHECK -> check();
     };
   }
 
+  /** Prints the first of the ports of a run that no other run uses. */
+  private int ports() {
+    OptionalInt base = FreePorts.find(FaultSite.PORTS);
+    if (base.isEmpty()) {
+      System.err.println("no " + FaultSite.PORTS + " free ports in a row; remedy: end other runs");
+      return FAILED;
+    }
+    System.out.println(base.getAsInt());
+    return 0;
+  }
+
   private int plan() throws IOException {
     new FaultSite(basePort).write(folder);
     List<FaultStep> steps = FaultPlan.of(seed);
--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/fault/FaultSite.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/fault/FaultSite.java
@@ -20,6 +20,9 @@
   public static final List<String> INSTANCES =
       List.of("klang-1", "klang-2", "klang-3", "penang-1", "penang-2");
 
+  /** Ports that one run takes, from its base port on. */
+  static final int PORTS = 100;
+
   private static final List<String> VOTERS = List.of("klang-1", "klang-2", "penang-1");
   private static final int HTTP_OFFSET = 0;
   private static final int PEER_OFFSET = 20;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/daemon/InstanceDaemon.java
@@ -217,6 +217,22 @@
     housekeeping.close();
     requests.close();
     keeper.close();
+    closeConnections();
+    LOG.info("instance {} stopped, everything in flight finished: {}", self, finished);
+    return finished;
+  }
+
+  /** Ends at once and finishes nothing, as when the process is killed. */
+  void halt() {
+    keeper.halt();
+    transport.close();
+    housekeeping.close();
+    requests.close();
+    closeConnections();
+    LOG.info("instance {} halted", self);
+  }
+
+  private void closeConnections() {
     if (log != null) {
       log.close();
     }
@@ -224,8 +240,6 @@
     transport.close();
     workerClient.close();
     security.close();
-    LOG.info("instance {} stopped, everything in flight finished: {}", self, finished);
-    return finished;
   }
 
   private Duration until(long deadlineMillis) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
@@ -136,6 +136,15 @@
     duty.close();
   }
 
+  /**
+   * Ends at once, as when the process is killed: starts that were sent get no successor here.
+   *
+   * @since 0.3
+   */
+  public void halt() {
+    duty.close();
+  }
+
   /** Begins nothing new and waits, for a bounded time, until no gang is between its starts. */
   private void drain() {
     duty.ask(this::drainStep)
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/LoopbackSite.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/LoopbackSite.java
@@ -15,12 +15,16 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.HostPort;
 import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.RackId;
 import org.primrosegauge.core.RegionId;
 import org.primrosegauge.core.ServiceId;
 import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.node.cfg.EndpointSettings;
 import org.primrosegauge.node.cfg.InstanceSettings;
 import org.primrosegauge.node.cfg.NodeSettings;
@@ -30,6 +34,7 @@
 import org.primrosegauge.node.log.MemoryStorage;
 import org.primrosegauge.standin.ExecutorStandin;
 import org.primrosegauge.standin.TargetHost;
+import org.primrosegauge.standin.WorkerStandin;
 
 /** Three instances of one site in this process, with one service and one customer. */
 final class LoopbackSite implements AutoCloseable {
@@ -111,6 +116,12 @@
     return running.remove(daemons.get(instance)) && daemons.get(instance).stop();
   }
 
+  /** Ends an instance at once and for good, as when its process is killed. */
+  void halt(int instance) {
+    running.remove(daemons.get(instance));
+    daemons.get(instance).halt();
+  }
+
   /** Attaches an executor to an instance and waits until it is listed there as ready. */
   ExecutorStandin attach(int instance, String id, Optional<String> address) throws Exception {
     TargetHost host = new TargetHost(List.of(address(instance)), ANNOUNCE_INTERVAL, SERVICE_TIME);
@@ -130,6 +141,59 @@
     return executor;
   }
 
+  /** Attaches a worker to the failure domain klang; it announces itself to both instances there. */
+  TargetHost attachWorker(String id, Consumer<WorkerStandin.TaskEvent> events) throws Exception {
+    List<String> instances = List.of(address(0), address(1));
+    TargetHost host = new TargetHost(instances, ANNOUNCE_INTERVAL, SERVICE_TIME);
+    host.start(HOST, 0);
+    opened.add(host);
+    TargetId target = new TargetId(id);
+    host.add(
+        new WorkerStandin(
+            target,
+            new FailureDomainId("klang"),
+            new RackId("r1"),
+            new Resources(64_000, 130 * 1024, 8),
+            host.addressOf(target),
+            events));
+    return host;
+  }
+
+  /** Returns the instance that keeps a failure domain, once its members agree on one. */
+  int keeperOf(String domain) throws Exception {
+    int first = DOMAINS.indexOf(domain);
+    int last = DOMAINS.lastIndexOf(domain);
+    AtomicReference<String> keeper = new AtomicReference<>("");
+    until(
+        () -> {
+          keeper.set(get(first, "/v1/status").path("keeper").asText());
+          return keeper.get().equals(get(last, "/v1/status").path("keeper").asText())
+              && keeper.get().startsWith("instance-");
+        });
+    return Integer.parseInt(keeper.get().substring("instance-".length()));
+  }
+
+  /** Submits a repeatable gang at the first instance. */
+  HttpResponse<String> submit(String job, int tasks, int millis) throws Exception {
+    String body =
+        json.createObjectNode()
+            .put("id", job)
+            .put("customer", "depot")
+            .put("tasks", tasks)
+            .put("milliCores", 1_000)
+            .put("memoryMib", 64)
+            .put("accelerators", 1)
+            .put("repeatable", true)
+            .put("command", "run " + millis)
+            .toString();
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create(address(0) + "/v1/jobs"))
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    return http.send(request, HttpResponse.BodyHandlers.ofString());
+  }
+
   void awaitState(int instance, String executor, String state) throws Exception {
     until(
         () -> {
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/TargetHost.java
@@ -1,6 +1,7 @@
 package org.primrosegauge.standin;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -44,8 +45,26 @@
   private final Map<TargetId, WorkerStandin> workers = new ConcurrentHashMap<>();
   private final Map<TargetId, ExecutorStandin> executors = new ConcurrentHashMap<>();
   private final Disposable.Composite loops = Disposables.composite();
+  private volatile CommandFilter filter = (task, command) -> true;
   private DisposableServer server;
 
+  /**
+   * Says which commands reach their worker. One that does not is neither carried out nor answered,
+   * as if the connection had gone silent.
+   *
+   * @since 0.3
+   */
+  @FunctionalInterface
+  public interface CommandFilter {
+
+    /**
+     * Returns whether a command reaches its worker; called on event loops.
+     *
+     * @since 0.3
+     */
+    boolean passes(TaskId task, TaskCommand command);
+  }
+
   /**
    * Creates a host.
    *
@@ -122,6 +141,15 @@
         (reply, message) -> {});
   }
 
+  /**
+   * Filters the commands to all workers from now on.
+   *
+   * @since 0.3
+   */
+  public void filter(CommandFilter commands) {
+    filter = commands;
+  }
+
   // Internals
 
   /** One announcement or renewal on its way. */
@@ -173,22 +201,22 @@
             Integer.parseInt(request.param("attempt")),
             Integer.parseInt(request.param("index")));
     Mono<byte[]> reply =
-        request
-            .receive()
-            .aggregate()
-            .asByteArray()
-            .map(
-                body -> {
-                  try {
-                    TaskCommand command = JSON.readValue(body, TaskCommand.class);
-                    return JSON.writeValueAsBytes(worker.execute(task, command, nowMillis()));
-                  } catch (java.io.IOException e) {
-                    throw new IllegalArgumentException(e);
-                  }
-                });
+        request.receive().aggregate().asByteArray().flatMap(body -> execute(worker, task, body));
     return response.header("content-type", "application/json").sendByteArray(reply).then();
   }
 
+  private Mono<byte[]> execute(WorkerStandin worker, TaskId task, byte[] body) {
+    try {
+      TaskCommand command = JSON.readValue(body, TaskCommand.class);
+      if (!filter.passes(task, command)) {
+        return Mono.never();
+      }
+      return Mono.just(JSON.writeValueAsBytes(worker.execute(task, command, nowMillis())));
+    } catch (IOException e) {
+      return Mono.error(e);
+    }
+  }
+
   private Mono<Void> request(HttpServerRequest request, HttpServerResponse response) {
     ExecutorStandin executor = executors.get(new TargetId(request.param("id")));
     if (executor == null) {
