Entry: a read that a silent leader does not answer is refused after 1.2 s, not held to its deadline

Reads of a job's state that met a frozen or cut-off leader were treated like orders that may have been carried out: sent again until 150 ms before the caller's deadline, though a read changes nothing and its refusal is always true.

Change: a question knows whether it changes anything; how long a call is tried depends on how far it got (not sent 0.4 s, read unanswered 1.2 s, may have run: the caller's wait). QuestionSender is the port to other instances, so that the client is tested in virtual time (reactor-test).

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
@@ -12,7 +12,6 @@
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.scope.ScopeMessage.Answer;
 import org.primrosegauge.node.scope.ScopeMessage.Question;
-import org.primrosegauge.node.transport.PeerTransport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Flux;
@@ -39,25 +38,57 @@
   /** Longest wait for one answer; a leader that takes longer is frozen or cut off. */
   private static final long TRY_MILLIS = 800;
 
-  /** Time after which a question that nobody has carried out is refused. */
+  /** Time after which a question that could not be sent to any leader is refused. */
   private static final long NOT_RUN_MILLIS = 400;
 
+  /** Time after which a read is refused that was sent and got no answer. */
+  private static final long READ_MILLIS = 1_200;
+
   private static final long CHECK_MILLIS = 500;
   private static final long CONTACT_MILLIS = 1_500;
 
+  /** How far a question has got. */
+  private enum Progress {
+    /** No leader has it. */
+    NOT_SENT,
+    /** A leader may have it, but it changes nothing. */
+    READ_UNANSWERED,
+    /** It may have been carried out, so that a refusal would not be true. */
+    MAY_HAVE_RUN;
+
+    Progress or(Progress other) {
+      return compareTo(other) >= 0 ? this : other;
+    }
+  }
+
   /**
    * A question on its way.
    *
    * @param question question
-   * @param refuseMillis when it is refused if nobody has carried it out
+   * @param sinceMillis when it was asked
    * @param endMillis when the one who asks waits no longer
    */
-  private record Call(Question question, long refuseMillis, long endMillis) {}
+  private record Call(Question question, long sinceMillis, long endMillis) {
+
+    Progress unanswered() {
+      return question.changesNothing() ? Progress.READ_UNANSWERED : Progress.MAY_HAVE_RUN;
+    }
+
+    long giveUpMillis(Progress progress) {
+      long own =
+          switch (progress) {
+            case NOT_SENT -> sinceMillis + NOT_RUN_MILLIS;
+            case READ_UNANSWERED -> sinceMillis + READ_MILLIS;
+            case MAY_HAVE_RUN -> endMillis;
+          };
+      return Math.min(own, endMillis);
+    }
+  }
 
   private record Contact(InstanceId leader, long atMillis) {}
 
   private final InstanceId self;
-  private final PeerTransport transport;
+  private final QuestionSender sender;
   private final MonotonicClock clock;
   private final AtomicReference<Set<InstanceId>> seeds = new AtomicReference<>(Set.of());
   private final AtomicReference<Set<InstanceId>> members = new AtomicReference<>(Set.of());
@@ -73,9 +104,9 @@
    * @since 0.2
    */
   public ScopeClient(
-      InstanceId self, PeerTransport transport, MonotonicClock clock, List<InstanceId> seeds) {
+      InstanceId self, QuestionSender sender, MonotonicClock clock, List<InstanceId> seeds) {
     this.self = self;
-    this.transport = transport;
+    this.sender = sender;
     this.clock = clock;
     seeds(seeds);
   }
@@ -146,42 +177,39 @@
     return Mono.defer(
         () -> {
           long now = clock.nowMillis();
-          return ask(new Call(question, now + NOT_RUN_MILLIS, now + timeout.toMillis()), false);
+          return ask(new Call(question, now, now + timeout.toMillis()), Progress.NOT_SENT);
         });
   }
 
-  /**
-   * Asks until there is an answer or the time is over.
-   *
-   * @param maybeDone whether an earlier try may have been carried out, so that a refusal would not
-   *     be true
-   */
-  private Mono<Answer> ask(Call call, boolean maybeDone) {
+  /** Asks until there is an answer or the time is over. */
+  private Mono<Answer> ask(Call call, Progress progress) {
     return Mono.defer(() -> askOnce(call))
         .flatMap(
             answer -> {
               if (answer instanceof ScopeMessage.NotLeader refused) {
                 noteLeader(refused.leader());
-                return again(call, maybeDone);
+                return again(call, progress);
               }
-              return answer instanceof ScopeMessage.Unknown ? again(call, true) : Mono.just(answer);
+              return answer instanceof ScopeMessage.Unknown
+                  ? again(call, progress.or(call.unanswered()))
+                  : Mono.just(answer);
             })
         .onErrorResume(
             error -> {
               LOG.debug("asking {} failed: {}", leader, error.getMessage());
               leader = null;
-              return again(call, maybeDone || !ScopeDuty.isUnavailable(error));
+              boolean wasSent = !ScopeDuty.isUnavailable(error);
+              return again(call, wasSent ? progress.or(call.unanswered()) : progress);
             });
   }
 
   /**
    * Questions change nothing when they come twice, so one that may have been done is sent again.
    */
-  private Mono<Answer> again(Call call, boolean maybeDone) {
-    long until = maybeDone ? call.endMillis() : call.refuseMillis();
-    if (clock.nowMillis() + RETRY_PAUSE.toMillis() >= Math.min(until, call.endMillis())) {
+  private Mono<Answer> again(Call call, Progress progress) {
+    if (clock.nowMillis() + RETRY_PAUSE.toMillis() >= call.giveUpMillis(progress)) {
       return Mono.just(
-          maybeDone
+          progress == Progress.MAY_HAVE_RUN
               ? new ScopeMessage.Unknown()
               : new ScopeMessage.Refused(ScopeRefusal.NO_LEADER));
     }
@@ -189,7 +217,7 @@
     return found
         .timeout(FIND_WAIT, Mono.empty())
         .then(Mono.delay(RETRY_PAUSE))
-        .then(Mono.defer(() -> ask(call, maybeDone)));
+        .then(Mono.defer(() -> ask(call, progress)));
   }
 
   private Mono<Answer> askOnce(Call call) {
@@ -201,10 +229,10 @@
     if (ledger != null && asked.equals(self)) {
       return ledger.answer(call.question());
     }
-    long left = Math.max(1, call.endMillis() - clock.nowMillis());
+    long left = Math.max(1, call.giveUpMillis(call.unanswered()) - clock.nowMillis());
     Duration wait = Duration.ofMillis(Math.min(left, TRY_MILLIS));
-    return transport
-        .ask(asked, call.question(), Answer.class, wait)
+    return sender
+        .ask(asked, call.question(), wait)
         .doOnNext(
             answer -> {
               if (!(answer instanceof ScopeMessage.NotLeader)) {
@@ -275,7 +303,7 @@
     Mono<Answer> answer =
         ledger != null && instance.equals(self)
             ? ledger.answer(new ScopeMessage.AskLeader())
-            : transport.ask(instance, new ScopeMessage.AskLeader(), Answer.class, FIND_TIMEOUT);
+            : sender.ask(instance, new ScopeMessage.AskLeader(), FIND_TIMEOUT);
     return answer.ofType(ScopeMessage.Leader.class).doOnNext(found -> learned(instance, found));
   }
 
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
@@ -70,7 +70,13 @@
     this.transport =
         new PeerTransport(settings.self(), new FrameCodec(TYPES), metrics, PeerSecurity.NONE);
     transport.resolver(peer -> Optional.of(addressOf(peer)));
-    this.client = new ScopeClient(settings.self(), transport, clock, settings.seeds());
+    this.client =
+        new ScopeClient(
+            settings.self(),
+            (to, question, timeout) ->
+                transport.ask(to, question, ScopeMessage.Answer.class, timeout),
+            clock,
+            settings.seeds());
     this.ledger = settings.dataFolder().isPresent() ? openLedger(workers, onStorageFailure) : null;
     this.housekeeping =
         new Duty("housekeeping", RING_CAPACITY, HOUSEKEEPING_MILLIS, clock, this::keepHouse);
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
@@ -17,7 +17,22 @@
 public sealed interface ScopeMessage {
 
   /** A question that any instance with a log answers. */
-  sealed interface Question extends ScopeMessage {}
+  sealed interface Question extends ScopeMessage {
+
+    /** Tells whether the answer leaves everything as it is. */
+    default boolean changesNothing() {
+      return false;
+    }
+  }
+
+  /** A question whose answer leaves everything as it is. */
+  sealed interface Read extends Question {
+
+    @Override
+    default boolean changesNothing() {
+      return true;
+    }
+  }
 
   /** An answer. */
   sealed interface Answer extends ScopeMessage {}
@@ -25,7 +40,7 @@
   // Questions
 
   /** Asks who leads and who keeps the log. */
-  record AskLeader() implements Question {}
+  record AskLeader() implements Read {}
 
   /**
    * Hands a job in.
@@ -40,7 +55,7 @@
    *
    * @param address queue and id of the job, or queue alone
    */
-  record AskState(CallerAddress address) implements Question {}
+  record AskState(CallerAddress address) implements Read {}
 
   /**
    * Cancels a job.
@@ -58,7 +73,7 @@
   record Configure(ScopeConfiguration configuration, String content) implements Question {}
 
   /** Asks for the configuration in force. */
-  record AskConfiguration() implements Question {}
+  record AskConfiguration() implements Read {}
 
   /**
    * Takes a failure domain out, or back in.
