A new keeper reads what its peers hold: a job of a domain that was cut off was forgotten

Cause: such a job is on record at the other instances of the domain only. A new keeper read its own memory and the log, not its peers; until now it was always the peer itself that took over. An instance that had just started also denied (404) jobs that it had not read yet, before it held the office.

Ruled out: an expired answer (kept far longer); a job never handed on (a gang starts only once every configured peer holds its record, and it started).

An unknown job is denied only by a keeper that has read the log and all peers, or has waited 10 s for them; before that the answer is "come back".

Also: ACCEPTED lines say what each step asks for; the customer as a field.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobMessage.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/job/JobMessage.java
@@ -53,6 +53,21 @@
    */
   record Replicate(LedgerRecord record) implements Question {}
 
+  /**
+   * Asks an instance of the same failure domain for the records that it holds, by id of the job.
+   *
+   * @param after id after which to begin; empty to begin with the first
+   * @param most most records to return
+   */
+  record ReadRecords(String after, int most) implements Question {}
+
+  /**
+   * Answers with records.
+   *
+   * @param records the records, by id; fewer than asked for when there are no more
+   */
+  record Records(List<LedgerRecord> records) implements JobMessage {}
+
   /** The record was merged. */
   record Replicated() implements JobMessage {}
 
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobBook.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobBook.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -119,6 +120,16 @@
     return views;
   }
 
+  /** Returns some of the records of the domain, by id of the job. */
+  List<LedgerRecord> recordsAfter(String job, int most) {
+    return ledger.records().stream()
+        .filter(record -> record.home().equals(domain))
+        .filter(record -> record.spec().id().value().compareTo(job) > 0)
+        .sorted(Comparator.comparing(record -> record.spec().id().value()))
+        .limit(most)
+        .toList();
+  }
+
   /** Returns the number of jobs in a phase. */
   int count(JobPhase phase) {
     return ledger.countOpen(phase);
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobDesk.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/JobDesk.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.FailureDomainId;
@@ -40,7 +41,9 @@
   private final MonotonicClock clock;
   private final Duty duty;
   private final Consumer<List<SchedulerAction>> performer;
+  private final BooleanSupplier knowsAllJobs;
 
+  /** Creates the desk; an unknown job is only denied while all jobs of the domain are known. */
   JobDesk(
       FailureDomainId domain,
       KeeperLease lease,
@@ -48,7 +51,8 @@
       JobBook jobs,
       MonotonicClock clock,
       Duty duty,
-      Consumer<List<SchedulerAction>> performer) {
+      Consumer<List<SchedulerAction>> performer,
+      BooleanSupplier knowsAllJobs) {
     this.domain = domain;
     this.lease = lease;
     this.scheduler = scheduler;
@@ -56,6 +60,7 @@
     this.clock = clock;
     this.duty = duty;
     this.performer = performer;
+    this.knowsAllJobs = knowsAllJobs;
   }
 
   /** Answers one question; an error of the question itself becomes a refusal. */
@@ -90,6 +95,8 @@
     if (question instanceof JobMessage.Replicate replicate) {
       jobs.merge(replicate.record());
       return new JobMessage.Replicated();
+    } else if (question instanceof JobMessage.ReadRecords read) {
+      return new JobMessage.Records(jobs.recordsAfter(read.after(), read.most()));
     } else if (question instanceof JobMessage.Show show) {
       return new JobMessage.Found(view(show.job()));
     } else if (question instanceof JobMessage.ListAll list) {
@@ -138,12 +145,24 @@
   }
 
   private JobView cancel(JobId job) throws PrimrosegaugeException {
-    jobs.requireKnown(job);
+    requireKnown(job);
     performer.accept(scheduler.cancel(job, clock.nowMillis()));
     return view(job);
   }
 
+  private void requireKnown(JobId job) throws PrimrosegaugeException {
+    if (!jobs.isKnown(job) && !knowsAllJobs.getAsBoolean()) {
+      throw new PrimrosegaugeException(
+          ErrorKind.UNAVAILABLE,
+          "the records of failure domain " + domain + " are still being read",
+          "come back in a second",
+          "");
+    }
+    jobs.requireKnown(job);
+  }
+
   private JobView view(JobId job) throws PrimrosegaugeException {
+    requireKnown(job);
     String waitsFor = scheduler.explain(job, clock.nowMillis()).map(this::describe).orElse(null);
     return jobs.view(job, waitsFor);
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/keeper/KeeperDuty.java
@@ -59,6 +59,9 @@
   private static final Duration DRAIN_CHECK_INTERVAL = Duration.ofMillis(10);
   private static final Duration DRAIN_MOST = Duration.ofSeconds(3);
 
+  /** Longest time for which a new keeper waits for the records of others before it denies a job. */
+  private static final long READ_MOST_MILLIS = 10_000;
+
   private final FailureDomainId domain;
   private final MonotonicClock clock;
   private final PeerTransport transport;
@@ -71,8 +74,11 @@
   private final CommandSender commands;
   private final JobBook jobs;
   private final JobLog jobLog;
+  private final PeerRecords peerRecords;
   private final HeldStarts heldStarts = new HeldStarts();
   private Revision switchInForce = Revision.NONE;
+  private boolean isLogRead;
+  private long inOfficeSinceMillis = Long.MAX_VALUE;
   private volatile KeeperFigures figures = KeeperFigures.NONE;
 
   /**
@@ -111,11 +117,20 @@
     this.jobLog = jobLog;
     this.jobs =
         new JobBook(domain, neighbours, clock, duty, transport, jobLog, this::releaseStarts);
+    this.peerRecords = new PeerRecords(neighbours, transport, duty, this::mergeAndRestore);
     transport.onTell(
         KeeperMessage.class,
         (from, message) -> duty.offer(() -> run(lease.receive(message, clock.nowMillis()))));
     JobDesk desk =
-        new JobDesk(domain, lease, scheduler, jobs, clock, duty, actions -> perform(actions));
+        new JobDesk(
+            domain,
+            lease,
+            scheduler,
+            jobs,
+            clock,
+            duty,
+            actions -> perform(actions),
+            this::knowsAllJobs);
     transport.onAsk(JobMessage.Question.class, (from, question) -> desk.answer(question));
   }
 
@@ -283,6 +298,7 @@
       }
     }
     perform(scheduler.tick(nowMillis));
+    peerRecords.tick(nowMillis);
     jobs.tick(lease.mayStart(nowMillis), nowMillis);
     releaseStarts();
     publish(nowMillis);
@@ -331,6 +347,7 @@
         takeOver();
       } else if (action instanceof KeeperAction.LostOffice lost) {
         LOG.info("no longer keeper of failure domain {} under term {}", domain, lost.term());
+        inOfficeSinceMillis = Long.MAX_VALUE;
         workers.clear();
       }
     }
@@ -401,25 +418,48 @@
   }
 
   /**
-   * Hands the jobs on record to the scheduler: those known here at once, those of the log later.
+   * Hands the jobs on record to the scheduler: those known here at once, those of the log and of
+   * the other instances later.
    */
   private void takeOver() {
     long now = clock.nowMillis();
+    inOfficeSinceMillis = now;
+    isLogRead = false;
+    peerRecords.begin();
     perform(scheduler.leaseGranted(lease.term(), lease.snapshot().leaseUntil(), now));
     jobs.open().forEach(this::restore);
     jobLog
         .records(domain)
         .subscribe(
-            records -> duty.offer(() -> records.forEach(this::mergeAndRestore)),
+            records ->
+                duty.offer(
+                    () -> {
+                      isLogRead = true;
+                      mergeAndRestore(records);
+                    }),
             error -> LOG.warn("job records of the log are not at hand: {}", error.getMessage()));
   }
 
-  private void mergeAndRestore(LedgerRecord record) {
-    if (jobs.merge(record)) {
-      jobs.find(record.spec().id()).filter(merged -> !merged.isFinal()).ifPresent(this::restore);
+  private void mergeAndRestore(List<LedgerRecord> records) {
+    boolean inOffice = lease.mayStart(clock.nowMillis());
+    for (LedgerRecord record : records) {
+      boolean isNews = jobs.merge(record);
+      if (isNews && inOffice) {
+        jobs.find(record.spec().id()).filter(merged -> !merged.isFinal()).ifPresent(this::restore);
+      }
     }
   }
 
+  /**
+   * Tells whether a job that is not known here does not exist: this is the keeper, and all who may
+   * hold records have been read, or had their time.
+   */
+  private boolean knowsAllJobs() {
+    long now = clock.nowMillis();
+    boolean isRead = isLogRead && peerRecords.isComplete();
+    return lease.mayStart(now) && (isRead || now - inOfficeSinceMillis > READ_MOST_MILLIS);
+  }
+
   private void restore(LedgerRecord record) {
     perform(
         scheduler.jobRestored(record.spec(), record.attempt(), record.phase(), clock.nowMillis()));
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
@@ -7,6 +7,7 @@
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeEvent;
+import org.primrosegauge.core.scope.StepSpec;
 import org.primrosegauge.node.metrics.NodeMetrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -69,11 +70,12 @@
   public void applied(ScopeCommand command) {
     if (command instanceof ScopeCommand.Submit submit) {
       LOG.info(
-          "{} {} {} steps={}",
+          "{} {} {} {} steps={}",
           field("event", "ACCEPTED"),
           field("job", submit.job().id()),
           field("queue", submit.job().queue()),
-          submit.job().steps().size());
+          field("customer", submit.job().customer()),
+          submit.job().steps().stream().map(ScopeEventLog::describe).toList());
     } else if (command instanceof ScopeCommand.Cancel cancel) {
       LOG.info("{} {}", field("event", "CANCELLED"), field("job", cancel.job()));
     } else if (command instanceof ScopeCommand.Configure configure) {
@@ -88,6 +90,21 @@
     }
   }
 
+  /** Says what decides where the tasks of a step may run. */
+  private static String describe(StepSpec step) {
+    StringBuilder text = new StringBuilder();
+    text.append(step.count()).append('x').append(step.estimatedMillis()).append("ms");
+    text.append(" cores=").append(step.task().milliCores() / 1_000.0);
+    text.append(" accelerators=").append(step.task().accelerators());
+    text.append(step.gang() ? " gang" : "").append(step.rackLocal() ? " rack-local" : "");
+    text.append(step.checkpoints() ? " checkpoints" : "");
+    text.append(step.longRunning() ? " long-running" : "");
+    text.append(step.dataRack().isEmpty() ? "" : " data=" + step.dataRack());
+    text.append(step.requiredLabel().isEmpty() ? "" : " label=" + step.requiredLabel());
+    text.append(step.maxPerWorker() == 0 ? "" : " per-worker=" + step.maxPerWorker());
+    return text.append(step.dependsOn().isEmpty() ? "" : " after=" + step.dependsOn()).toString();
+  }
+
   /**
    * Writes an order of the operators as it arrives.
    *
@@ -132,6 +149,6 @@
 
   /** Returns a field that stands in the message and as a text of its own in the line. */
   private static StructuredArgument field(String name, Object value) {
-    return kv(name, value.toString());
+    return kv(name, String.valueOf(value));
   }
 }
