--- /dev/null
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadPlan.java
@@ -0,0 +1,12 @@
+package org.primrosegauge.bench.load;
+
+import java.util.List;
+
+/**
+ * A load to replay.
+ *
+ * @param jobs jobs, by the time of their arrival
+ * @param troubles what goes wrong meanwhile
+ * @param lengthMillis time until the last arrival
+ */
+record LoadPlan(List<LoadJob> jobs, List<LoadTrouble> troubles, long lengthMillis) {}
--- a/primrosegauge-bench/src/test/java/org/primrosegauge/bench/fault/FreePortsTest.java
+++ b/primrosegauge-bench/src/test/java/org/primrosegauge/bench/fault/FreePortsTest.java
@@ -16,7 +16,7 @@
   }
 
   @Test
-  void portsInARowAreFound() {
+  void adjacentPortsAreFound() {
     int base = FreePorts.find(FaultSite.PORTS).orElseThrow();
     assertThat(base % FaultSite.PORTS).isEqualTo(0);
   }
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/KeeperHandoverTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/KeeperHandoverTest.java
@@ -45,7 +45,7 @@
 
   /** One start of the gang reaches its worker; the keeper ends before any other does. */
   @Test
-  void newKeeperCompletesTheStartsOfAGang() throws Exception {
+  void newKeeperCompletesTheStartsOfGang() throws Exception {
     site.attachWorker("w1", events::add).filter(this::onlyTheFirstStartOfTheFirstTerm);
     LoopbackSite.until(
         () -> site.submit(JOB, TASKS, LONGER_THAN_THE_REBUILD_MILLIS).statusCode() == 202);
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/keeper/KeeperTakeoverTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/keeper/KeeperTakeoverTest.java
@@ -91,7 +91,7 @@
 
   /** A job may be on record at a peer that has not answered yet. */
   @Test
-  void instanceThatHasNotReadItsPeersDoesNotDenyAJob() throws Exception {
+  void instanceThatHasNotReadItsPeersDeniesNoJob() throws Exception {
     PeerTransport keeper = transport(KEEPER);
     PeerTransport asker = transport(PEER);
     connect(keeper, asker);
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
@@ -87,7 +87,7 @@
 
   /** A caller who only asks is told to come back, not held while the leader may wake again. */
   @Test
-  void readThatAFrozenLeaderDoesNotAnswerIsRefusedInTime() {
+  void readWithoutAnswerOfFrozenLeaderIsRefusedInTime() {
     ScopeClient client = clientThatKnowsTheLeader();
     frozen = FIRST;
     Answer answer = answerWithin(client, READ, HALF_OF_THE_PATIENCE_MILLIS);
@@ -96,7 +96,7 @@
 
   /** The frozen leader may still carry the order out, so "not run" would not be true. */
   @Test
-  void writeThatAFrozenLeaderMayCarryOutIsNeverRefused() {
+  void writeThatFrozenLeaderMayCarryOutIsNeverRefused() {
     ScopeClient client = clientThatKnowsTheLeader();
     frozen = FIRST;
     Answer answer = answerWithin(client, WRITE, PATIENCE.toMillis());
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeWorld.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -1,4 +1,4 @@
-package org.primrosegauge.core.scope;
+package org.primrosegauge.standin.scope;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -6,9 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.primrosegauge.core.CustomerId;
@@ -20,13 +23,42 @@
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.CustomerSpec;
+import org.primrosegauge.core.scope.JobEntry;
+import org.primrosegauge.core.scope.JobStatus;
+import org.primrosegauge.core.scope.LookAnswer;
+import org.primrosegauge.core.scope.Present;
+import org.primrosegauge.core.scope.QueueName;
+import org.primrosegauge.core.scope.QueueSpec;
+import org.primrosegauge.core.scope.Recurrence;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.RunOutcome;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeConfiguration;
+import org.primrosegauge.core.scope.ScopeJob;
+import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.core.scope.ScopeResult;
+import org.primrosegauge.core.scope.ScopeScheduler;
+import org.primrosegauge.core.scope.StartAnswer;
+import org.primrosegauge.core.scope.StepKey;
+import org.primrosegauge.core.scope.StepSpec;
+import org.primrosegauge.core.scope.StopAnswer;
+import org.primrosegauge.core.scope.TaskKey;
+import org.primrosegauge.core.scope.WorkerInfo;
+import org.primrosegauge.core.scope.WorkerKey;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
 
 /**
  * A scope in virtual time: the real ledger and scheduler, a log that commits after a delay, workers
  * that keep to their protocol, and a network that loses and delays. Watches what must hold.
+ *
+ * <p>Not thread-safe. Life-cycle: create it, then submit jobs, cause trouble and let time pass with
+ * {@link #run}, in any order.
+ *
+ * @since 0.3
  */
-final class ScopeWorld {
+public final class EmulatedScope {
 
   static final long STEP_MILLIS = 10;
   private static final String TRACED = System.getProperty("scope.trace");
@@ -37,8 +69,8 @@
 
   private static final long ANSWER_TIMEOUT_MILLIS = 500;
   private static final long HEARTBEAT_MILLIS = 1_500;
-  private static final int WORKERS_PER_RACK = 3;
-  static final Resources WORKER = new Resources(64_000, 256_000, 8);
+  private static final long RETENTION_MILLIS = 1_000_000;
+  private static final int MAX_ATTEMPTS = 3;
   static final ServiceId POOL = new ServiceId("pool");
 
   private record Event(long at, long order, Runnable task) implements Comparable<Event> {
@@ -49,24 +81,26 @@
     }
   }
 
-  private record Waiting(SimulatedWorker worker, long until, int knownEnds, int epoch) {}
+  private record Waiting(EmulatedWorker worker, long until, int knownEnds, int epoch) {}
 
   private record Proposal(ScopeCommand command, long number) {}
 
   private final Random random;
   private final List<Proposal> proposals = new ArrayList<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
-  private final boolean guards;
-  final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
+  private final EmulatedFleet fleet;
+  final Map<String, EmulatedWorker> workers = new LinkedHashMap<>();
   private final Map<WorkerKey, Long> nextBeat = new HashMap<>();
   private final Map<Waiting, ScopeAction.Look> waiting = new LinkedHashMap<>();
   private final Set<String> cut = new HashSet<>();
   private final Map<JobId, ScopeJob> jobs = new LinkedHashMap<>();
-  private final Map<JobId, Long> works = new HashMap<>();
+  private final Map<JobId, List<Long>> works = new HashMap<>();
+  private final Map<JobId, Long> finished = new LinkedHashMap<>();
   private final Set<JobId> poison = new HashSet<>();
   private final Map<StepKey, Integer> wholeAttempt = new HashMap<>();
   final ScopeChecker checker = new ScopeChecker(this);
-  final ScopeLedger ledger = new ScopeLedger(1_000_000);
+  final WorkMeter meter = new WorkMeter();
+  final ScopeLedger ledger = new ScopeLedger(RETENTION_MILLIS);
   private ScopeScheduler scheduler;
   private int epoch;
   private long term;
@@ -76,11 +110,21 @@
   double lateOrders;
   boolean isCalm = true;
 
-  ScopeWorld(long seed, int workerCount, boolean guards) {
+  /** Creates a scope with a small fleet, three queues and two customers. */
+  EmulatedScope(long seed, int workerCount, boolean guards) {
+    this(seed, EmulatedFleet.small(workerCount, guards), configuration());
+  }
+
+  /**
+   * Creates a scope whose workers start at once.
+   *
+   * @since 0.3
+   */
+  public EmulatedScope(long seed, EmulatedFleet fleet, ScopeConfiguration configuration) {
     this.random = new Random(seed);
-    this.guards = guards;
-    this.ledger.apply(new ScopeCommand.Configure(configuration(), "text"));
-    for (int i = 0; i < workerCount; i++) {
+    this.fleet = fleet;
+    this.ledger.apply(new ScopeCommand.Configure(configuration, "text"));
+    for (int i = 0; i < fleet.workers(); i++) {
       startWorker("w" + i, i);
     }
     changeLeader();
@@ -114,43 +158,81 @@
             new WorkerKey(new TargetId(name), now),
             new HostPort("10.0.0." + (number + 1), 80),
             POOL,
-            new FailureDomainId("d" + number % 3),
-            WORKER,
-            List.of("a", "r" + number / WORKERS_PER_RACK),
-            "r" + number / WORKERS_PER_RACK);
+            new FailureDomainId("d" + number % fleet.domains()),
+            fleet.capacity(),
+            List.of("a", rackOf(number)),
+            rackOf(number));
     double rate = 0.98 + 0.02 * random.nextDouble();
-    workers.put(name, new SimulatedWorker(this, info, rate, guards));
+    workers.put(name, new EmulatedWorker(this, info, rate, fleet.guards()));
     nextBeat.put(info.key(), now + random.nextInt(200));
   }
 
-  void crash(String name, long downMillis) {
-    SimulatedWorker worker = workers.remove(name);
+  private String rackOf(int worker) {
+    return "r" + worker / fleet.workersPerRack();
+  }
+
+  /**
+   * Ends a worker without notice; it starts again empty, as a new lifetime.
+   *
+   * @since 0.3
+   */
+  public void crash(String name, long downMillis) {
+    EmulatedWorker worker = workers.remove(name);
     if (worker == null) {
       return;
     }
-    for (SimulatedWorker.Run run : worker.runs.values()) {
+    for (EmulatedWorker.Run run : worker.runs.values()) {
       checker.gone(run, RunOutcome.WORKER_LOST);
     }
     int number = Integer.parseInt(name.substring(1));
     at(now + downMillis, () -> startWorker(name, number));
   }
 
-  void cut(String name, long forMillis) {
+  /**
+   * Makes all that runs on a worker slower for a while.
+   *
+   * @param factor how many times as long everything takes
+   * @since 0.3
+   */
+  public void slowDown(String name, int factor, long forMillis) {
+    EmulatedWorker worker = workers.get(name);
+    if (worker != null) {
+      worker.slowness = factor;
+      at(now + forMillis, () -> worker.slowness = 1);
+    }
+  }
+
+  /**
+   * Cuts a worker off for a while; it runs on.
+   *
+   * @since 0.3
+   */
+  public void cut(String name, long forMillis) {
     if (cut.add(name)) {
       at(now + forMillis, () -> cut.remove(name));
     }
   }
 
-  void stall(String name, long forMillis) {
-    SimulatedWorker worker = workers.get(name);
+  /**
+   * Lets all tasks of a worker stand still for a while; its heartbeats go on.
+   *
+   * @since 0.3
+   */
+  public void stall(String name, long forMillis) {
+    EmulatedWorker worker = workers.get(name);
     if (worker != null) {
       worker.stalls = true;
       at(now + forMillis, () -> worker.stalls = false);
     }
   }
 
-  void failAll(String name, long forMillis) {
-    SimulatedWorker worker = workers.get(name);
+  /**
+   * Lets all tasks fail that a worker starts during a while.
+   *
+   * @since 0.3
+   */
+  public void failAll(String name, long forMillis) {
+    EmulatedWorker worker = workers.get(name);
     if (worker != null) {
       worker.failsAll = true;
       at(now + forMillis, () -> worker.failsAll = false);
@@ -158,7 +240,7 @@
   }
 
   void drain(String name) {
-    SimulatedWorker worker = workers.get(name);
+    EmulatedWorker worker = workers.get(name);
     if (worker != null && !worker.drains) {
       worker.drains = true;
       nextBeat.put(worker.info.key(), now);
@@ -179,8 +261,12 @@
     perform(scheduler.takeOffice(new Term(term), present()));
   }
 
-  /** Leaves the scope without a leader for a while. */
-  void loseLeader(long forMillis) {
+  /**
+   * Leaves the scope without a leader for a while.
+   *
+   * @since 0.3
+   */
+  public void loseLeader(long forMillis) {
     epoch++;
     scheduler = null;
     at(now + forMillis, this::changeLeader);
@@ -244,11 +330,26 @@
     if (command instanceof ScopeCommand.Cancel cancel && result == ScopeResult.APPLIED) {
       checker.cancelled(cancel.job());
     }
+    noteFinished(command);
     if (scheduler != null) {
       perform(scheduler.applied(command, present()));
     }
   }
 
+  private void noteFinished(ScopeCommand command) {
+    if (command instanceof ScopeCommand.RecordEnds ends) {
+      ends.ends().forEach(end -> noteIfFinished(end.run().task().job()));
+    } else if (command instanceof ScopeCommand.Cancel cancel) {
+      noteIfFinished(cancel.job());
+    }
+  }
+
+  private void noteIfFinished(JobId id) {
+    if (ledger.job(id).map(entry -> entry.status().isFinal()).orElse(false)) {
+      finished.putIfAbsent(id, now);
+    }
+  }
+
   // Network
 
   /** Delivers an order soon; a late one gets no answer and is carried out seconds later. */
@@ -262,7 +363,7 @@
     at(now + 1 + random.nextInt(4), () -> delivery.accept(sentIn));
   }
 
-  private SimulatedWorker reach(WorkerKey key) {
+  private EmulatedWorker reach(WorkerKey key) {
     String name = key.target().value();
     return cut.contains(name) ? null : workers.get(name);
   }
@@ -298,7 +399,7 @@
   }
 
   private void answerStart(ScopeAction.Start order, int sentIn) {
-    SimulatedWorker worker = reach(order.worker());
+    EmulatedWorker worker = reach(order.worker());
     StartAnswer answer = worker == null ? StartAnswer.NO_ANSWER : worker.start(order, now);
     long clock = worker == null ? 0 : worker.clock(now);
     boolean isAnswered = worker != null && random.nextDouble() >= lostAnswers;
@@ -315,7 +416,7 @@
   }
 
   private void answerStop(ScopeAction.Stop order, int sentIn) {
-    SimulatedWorker worker = reach(order.worker());
+    EmulatedWorker worker = reach(order.worker());
     StopAnswer answer = worker == null ? StopAnswer.NO_ANSWER : worker.stop(order, now);
     boolean isAnswered = worker != null && random.nextDouble() >= lostAnswers;
     answer(
@@ -328,7 +429,7 @@
   }
 
   private void receiveLook(ScopeAction.Look order, int sentIn) {
-    SimulatedWorker worker = reach(order.worker());
+    EmulatedWorker worker = reach(order.worker());
     if (worker == null) {
       answerLook(order, sentIn, LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
     } else if (!worker.info.key().equals(order.worker())) {
@@ -357,7 +458,7 @@
 
   private void answerWaiting() {
     for (Map.Entry<Waiting, ScopeAction.Look> each : List.copyOf(waiting.entrySet())) {
-      SimulatedWorker worker = each.getKey().worker();
+      EmulatedWorker worker = each.getKey().worker();
       boolean isDue = now >= each.getKey().until() || !worker.ended.isEmpty();
       boolean isThere = workers.get(worker.info.key().target().value()) == worker;
       if (!isThere || isDue) {
@@ -379,13 +480,24 @@
             new QueueName("q" + priority),
             POOL,
             customer == null ? null : new CustomerId(customer),
-            3,
+            MAX_ATTEMPTS,
             now,
             "payload " + id,
             steps,
             Recurrence.NONE);
+    submit(job, steps.stream().map(step -> workMillis).toList());
+  }
+
+  /**
+   * Hands a job in, at present.
+   *
+   * @param job job; its payload is "payload " and its id
+   * @param workMillis how long a task of each step takes, in milliseconds
+   * @since 0.3
+   */
+  public void submit(ScopeJob job, List<Long> workMillis) {
     jobs.put(job.id(), job);
-    works.put(job.id(), workMillis);
+    works.put(job.id(), List.copyOf(workMillis));
     handIn(job);
   }
 
@@ -397,11 +509,21 @@
     }
   }
 
-  void poison(String id) {
+  /**
+   * Makes every run of a job fail.
+   *
+   * @since 0.3
+   */
+  public void poison(String id) {
     poison.add(new JobId(id));
   }
 
-  void cancel(String id) {
+  /**
+   * Cancels a job.
+   *
+   * @since 0.3
+   */
+  public void cancel(String id) {
     propose(new ScopeCommand.Cancel(new JobId(id), now));
   }
 
@@ -409,24 +531,112 @@
     propose(new ScopeCommand.SwitchDomain(new FailureDomainId(domain), out));
   }
 
-  JobStatus status(String id) {
+  JobStatus statusOf(String id) {
     return ledger.job(new JobId(id)).map(JobEntry::status).orElse(null);
   }
 
+  // Accessors
+
+  /**
+   * Returns the present, in milliseconds.
+   *
+   * @since 0.3
+   */
+  public long nowMillis() {
+    return now;
+  }
+
+  /**
+   * Returns when a job ended, in milliseconds; empty while it goes on.
+   *
+   * @since 0.3
+   */
+  public OptionalLong finishedMillis(JobId job) {
+    Long at = finished.get(job);
+    return at == null ? OptionalLong.empty() : OptionalLong.of(at);
+  }
+
+  /**
+   * Returns when the first task of a job began, in milliseconds; empty before.
+   *
+   * @since 0.3
+   */
+  public OptionalLong begunMillis(JobId job) {
+    Long at = checker.firstBegin.get(job);
+    return at == null ? OptionalLong.empty() : OptionalLong.of(at);
+  }
+
+  /**
+   * Returns how a job stands; empty before it is accepted.
+   *
+   * @since 0.3
+   */
+  public Optional<JobStatus> status(JobId job) {
+    return ledger.job(job).map(JobEntry::status);
+  }
+
+  /**
+   * Returns how many tasks of a step fit into what is free on the workers now.
+   *
+   * @since 0.3
+   */
+  public int roomFor(StepSpec step) {
+    int room = 0;
+    for (EmulatedWorker worker : workers.values()) {
+      Resources free = worker.info.capacity().minus(worker.used());
+      int here = 0;
+      while (step.task().fitsIn(free) && (step.maxPerWorker() == 0 || here < step.maxPerWorker())) {
+        free = free.minus(step.task());
+        here++;
+      }
+      room += here;
+    }
+    return room;
+  }
+
+  /**
+   * Returns the work done and lost so far.
+   *
+   * @since 0.3
+   */
+  public WorkMeter meter() {
+    return meter;
+  }
+
+  /**
+   * Returns what was seen that must not happen.
+   *
+   * @since 0.3
+   */
+  public List<String> violations() {
+    return List.copyOf(checker.violations);
+  }
+
   // Time
 
-  void at(long when, Runnable task) {
+  /**
+   * Schedules a task.
+   *
+   * @param when time at which it is to run, in milliseconds
+   * @since 0.3
+   */
+  public void at(long when, Runnable task) {
     events.add(new Event(when, order++, task));
   }
 
-  void run(long millis) {
+  /**
+   * Lets time pass.
+   *
+   * @since 0.3
+   */
+  public void run(long millis) {
     long end = now + millis;
     while (now < end) {
       now += STEP_MILLIS;
       while (!events.isEmpty() && events.peek().at() <= now) {
         events.poll().task().run();
       }
-      for (SimulatedWorker worker : List.copyOf(workers.values())) {
+      for (EmulatedWorker worker : List.copyOf(workers.values())) {
         beat(worker);
         worker.advance(now, STEP_MILLIS);
       }
@@ -437,7 +647,7 @@
     }
   }
 
-  private void beat(SimulatedWorker worker) {
+  private void beat(EmulatedWorker worker) {
     WorkerKey key = worker.info.key();
     boolean isDue = now >= nextBeat.getOrDefault(key, 0L);
     if (isDue && scheduler != null && !cut.contains(key.target().value())) {
@@ -453,7 +663,7 @@
   }
 
   long workOf(TaskKey task) {
-    return works.get(task.job());
+    return works.get(task.job()).get(task.step());
   }
 
   boolean isPoison(JobId job) {
@@ -464,7 +674,7 @@
     return workers.values().stream().anyMatch(worker -> worker.runs.containsKey(id));
   }
 
-  boolean isGangPresent(SimulatedWorker.Run run) {
+  boolean isGangPresent(EmulatedWorker.Run run) {
     StepKey step = run.id.task().stepKey();
     boolean isWhole = true;
     for (int i = 0; i < run.spec.count() && isWhole; i++) {
@@ -476,11 +686,11 @@
     return isWhole;
   }
 
-  boolean wasGangWhole(SimulatedWorker.Run run) {
+  boolean wasGangWhole(EmulatedWorker.Run run) {
     return wholeAttempt.getOrDefault(run.id.task().stepKey(), 0) == run.id.attempt();
   }
 
-  boolean hasGangMemberEnded(SimulatedWorker.Run run) {
+  boolean hasGangMemberEnded(EmulatedWorker.Run run) {
     StepKey step = run.id.task().stepKey();
     for (int i = 0; i < run.spec.count(); i++) {
       if (checker.hasEnded(new RunId(step.task(i), run.id.attempt()))) {
@@ -490,13 +700,34 @@
     return false;
   }
 
+  /** Returns how long a run takes to stop; the same each time. */
+  long stopMillis(RunId run) {
+    int range = fleet.mostStopMillis() - fleet.leastStopMillis();
+    return fleet.leastStopMillis() + new SplittableRandom(run.hashCode()).nextInt(range + 1);
+  }
+
+  /** Returns how many times as long a run takes for where it and its gang run. */
+  int distanceFactor(EmulatedWorker.Run run, String rack) {
+    boolean isFar = !run.spec.dataRack().isEmpty() && !run.spec.dataRack().equals(rack);
+    boolean isSpread = run.spec.gang() && run.spec.rackLocal() && hasMemberElsewhere(run, rack);
+    return isFar || isSpread ? fleet.distanceFactor() : 1;
+  }
+
+  private boolean hasMemberElsewhere(EmulatedWorker.Run run, String rack) {
+    StepKey step = run.id.task().stepKey();
+    return workers.values().stream()
+        .filter(worker -> !worker.info.rack().equals(rack))
+        .flatMap(worker -> worker.runs.keySet().stream())
+        .anyMatch(other -> other.task().stepKey().equals(step));
+  }
+
   /** Ends a run as done, with all members of its gang. */
-  void done(SimulatedWorker.Run run) {
+  void done(EmulatedWorker.Run run) {
     int count = run.spec.gang() ? run.spec.count() : 1;
     for (int i = 0; i < count; i++) {
       TaskKey task = run.spec.gang() ? run.id.task().stepKey().task(i) : run.id.task();
       RunId id = new RunId(task, run.id.attempt());
-      for (SimulatedWorker worker : workers.values()) {
+      for (EmulatedWorker worker : workers.values()) {
         if (worker.runs.containsKey(id)) {
           worker.end(worker.runs.get(id), RunOutcome.DONE);
         }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/SimulatedWorker.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
@@ -1,4 +1,4 @@
-package org.primrosegauge.core.scope;
+package org.primrosegauge.standin.scope;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -6,17 +6,29 @@
 import java.util.List;
 import java.util.Map;
 import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.LookAnswer;
 import org.primrosegauge.core.scope.LookAnswer.EndedEntry;
 import org.primrosegauge.core.scope.LookAnswer.RunningEntry;
+import org.primrosegauge.core.scope.RunEnd;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.RunOutcome;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.StartAnswer;
+import org.primrosegauge.core.scope.StepSpec;
+import org.primrosegauge.core.scope.StopAnswer;
+import org.primrosegauge.core.scope.TaskKey;
+import org.primrosegauge.core.scope.WorkerInfo;
+import org.primrosegauge.core.scope.WorkerStatus;
 
 /**
  * One lifetime of a worker in virtual time: leases on a clock that may be slow, fencing tokens,
  * gangs that wait for their members, checkpoints, and ends that are listed until they are
  * forgotten.
+ *
+ * <p>Not thread-safe; owned by one {@link EmulatedScope}.
  */
-final class SimulatedWorker {
+final class EmulatedWorker {
 
-  static final long STOP_MILLIS = 300;
   static final long GANG_TIMEOUT_MILLIS = 3_000;
   static final long CHECKPOINT_MILLIS = 1_000;
   static final long LONGEST_LEASE_MILLIS = 10_000;
@@ -29,6 +41,7 @@
     final boolean fails;
     final long startedMillis;
     long progressMillis;
+    long savedMillis;
     long stopAtMillis = Long.MAX_VALUE;
     String saved;
 
@@ -40,6 +53,7 @@
       this.startedMillis = now;
       this.saved = checkpoint;
       this.progressMillis = checkpoint.isEmpty() ? 0 : Long.parseLong(checkpoint.split("-")[1]);
+      this.savedMillis = progressMillis;
     }
   }
 
@@ -49,7 +63,7 @@
   final Map<RunId, Run> runs = new LinkedHashMap<>();
   final List<EndedEntry> ended = new ArrayList<>();
   final Map<TaskKey, Integer> barred = new HashMap<>();
-  private final ScopeWorld world;
+  private final EmulatedScope world;
   long fence;
   long deadline;
   long ends;
@@ -58,7 +72,10 @@
   boolean failsAll;
   boolean drains;
 
-  SimulatedWorker(ScopeWorld world, WorkerInfo info, double clockRate, boolean guards) {
+  /** How many times as long as usual everything takes here. */
+  int slowness = 1;
+
+  EmulatedWorker(EmulatedScope world, WorkerInfo info, double clockRate, boolean guards) {
     this.world = world;
     this.info = info;
     this.clockRate = clockRate;
@@ -127,7 +144,7 @@
     barred.merge(order.run().task(), order.run().attempt(), Math::max);
     Run run = runs.get(order.run());
     if (run != null) {
-      run.stopAtMillis = Math.min(run.stopAtMillis, now + STOP_MILLIS);
+      run.stopAtMillis = Math.min(run.stopAtMillis, now + world.stopMillis(run.id));
     }
     return StopAnswer.STOPPING;
   }
@@ -182,7 +199,9 @@
       return;
     }
     if (now >= run.stopAtMillis) {
-      run.saved = run.spec.checkpoints() ? world.checker.checkpoint(run) : run.saved;
+      if (run.spec.checkpoints()) {
+        save(run);
+      }
       end(run, RunOutcome.STOPPED);
       return;
     }
@@ -198,9 +217,9 @@
     if (stalls) {
       return;
     }
-    run.progressMillis += step;
+    run.progressMillis += Math.max(1, step / (slowness * world.distanceFactor(run, info.rack())));
     if (run.spec.checkpoints() && run.progressMillis % CHECKPOINT_MILLIS < step) {
-      run.saved = world.checker.checkpoint(run);
+      save(run);
     }
     if (run.fails && run.progressMillis > run.workMillis / 3) {
       end(run, RunOutcome.FAILED);
@@ -209,10 +228,16 @@
     }
   }
 
+  private void save(Run run) {
+    run.saved = world.checker.checkpoint(run);
+    run.savedMillis = run.progressMillis;
+  }
+
   void end(Run run, RunOutcome outcome) {
     runs.remove(run.id);
     barred.merge(run.id.task(), run.id.attempt(), Math::max);
     String saved = outcome == RunOutcome.DONE ? "" : run.saved;
+    world.meter.ended(run, outcome);
     ended.add(new EndedEntry(++ends, new RunEnd(run.id, outcome, saved)));
     world.checker.ended(this, run, outcome);
   }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeChecker.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/ScopeChecker.java
@@ -1,4 +1,4 @@
-package org.primrosegauge.core.scope;
+package org.primrosegauge.standin.scope;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,11 +9,19 @@
 import java.util.TreeMap;
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.scope.LookAnswer.EndedEntry;
+import org.primrosegauge.core.scope.RunEnd;
+import org.primrosegauge.core.scope.RunId;
+import org.primrosegauge.core.scope.RunOutcome;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.StepKey;
+import org.primrosegauge.core.scope.StepRecord;
+import org.primrosegauge.core.scope.TaskKey;
+import org.primrosegauge.core.scope.WorkerKey;
 
-/** Watches what must hold in a {@link ScopeWorld}, from what its workers see alone. */
+/** Watches what must hold in a {@link EmulatedScope}, from what its workers see alone. */
 final class ScopeChecker {
 
-  private final ScopeWorld world;
+  private final EmulatedScope world;
   private final Map<JobId, Long> cancelledAt = new HashMap<>();
   private final Map<TaskKey, Set<RunId>> present = new HashMap<>();
   private final Map<TaskKey, Integer> failedNoted = new HashMap<>();
@@ -28,7 +36,7 @@
   /** Racks on which runs of a job began. */
   final Map<JobId, Set<String>> racks = new HashMap<>();
 
-  ScopeChecker(ScopeWorld world) {
+  ScopeChecker(EmulatedScope world) {
     this.world = world;
   }
 
@@ -42,7 +50,7 @@
   }
 
   /** Returns a new checkpoint of a run, valid for all members of its gang. */
-  String checkpoint(SimulatedWorker.Run run) {
+  String checkpoint(EmulatedWorker.Run run) {
     String saved = run.id.task().job() + "-" + run.progressMillis;
     int count = run.spec.gang() ? run.spec.count() : 1;
     for (int i = 0; i < count; i++) {
@@ -52,7 +60,7 @@
     return saved;
   }
 
-  void began(SimulatedWorker worker, SimulatedWorker.Run run, ScopeAction.Start order) {
+  void began(EmulatedWorker worker, EmulatedWorker.Run run, ScopeAction.Start order) {
     world.trace("began", run.id + " on " + worker.info.key());
     TaskKey task = run.id.task();
     firstBegin.putIfAbsent(task.job(), world.now);
@@ -92,7 +100,7 @@
     }
   }
 
-  void ended(SimulatedWorker worker, SimulatedWorker.Run run, RunOutcome outcome) {
+  void ended(EmulatedWorker worker, EmulatedWorker.Run run, RunOutcome outcome) {
     world.trace("ended", run.id + " " + outcome + " on " + worker.info.key() + " #" + worker.ends);
     gone(run, outcome);
     if (outcome == RunOutcome.ALONE && world.isCalm) {
@@ -100,20 +108,20 @@
     }
   }
 
-  void gone(SimulatedWorker.Run run, RunOutcome outcome) {
+  void gone(EmulatedWorker.Run run, RunOutcome outcome) {
     outcomes.put(run.id, outcome);
     counts.merge(outcome, 1, Integer::sum);
     present.getOrDefault(run.id.task(), new HashSet<>()).remove(run.id);
   }
 
-  void lapsed(SimulatedWorker worker) {
+  void lapsed(EmulatedWorker worker) {
     for (EndedEntry entry : worker.ended) {
       lapsedEnds.put(entry.end().run(), worker.info.key());
     }
   }
 
   /** An end counts as noted unless the lease lapsed since. */
-  void noted(SimulatedWorker worker, EndedEntry entry) {
+  void noted(EmulatedWorker worker, EndedEntry entry) {
     world.trace("noted", entry + " on " + worker.info.key());
     RunEnd end = entry.end();
     if (lapsedEnds.containsKey(end.run())) {
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLoadTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeLoadTest.java
@@ -1,4 +1,4 @@
-package org.primrosegauge.core.scope;
+package org.primrosegauge.standin.scope;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -6,6 +6,9 @@
 import org.junit.jupiter.api.Test;
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.JobStatus;
+import org.primrosegauge.core.scope.RunOutcome;
+import org.primrosegauge.core.scope.StepSpec;
 
 /** Replays the loads that decisions under load answer, each with a fixed seed. */
 class ScopeLoadTest {
@@ -22,7 +25,7 @@
   /** A fleet full of small tasks: an urgent gang gets room on one rack, not scattered. */
   @Test
   void urgentGangStartsOnOneRackOfFullFleet() {
-    ScopeWorld world = new ScopeWorld(21, 9, true);
+    EmulatedScope world = new EmulatedScope(21, 9, true);
     world.run(2_000);
     world.submit("filler", 2, "second", List.of(step(72, ONE, 9_000).build()), 9_000);
     world.run(3_000);
@@ -36,7 +39,7 @@
   /** Urgent work that has just begun has the least to lose, and yet gives way last. */
   @Test
   void urgentWorkDoesNotStopUrgentWorkWhileOtherWorkRuns() {
-    ScopeWorld world = new ScopeWorld(22, 4, true);
+    EmulatedScope world = new EmulatedScope(22, 4, true);
     world.run(2_000);
     StepSpec whole = step(1, WHOLE_WORKER, 8_000).build();
     world.submit("old", 2, "second", List.of(whole), 8_000);
@@ -47,13 +50,13 @@
     world.run(2_900);
     assertThat(world.checker.firstBegin).containsKey(URGENT);
     assertThat(world.checker.counts.get(RunOutcome.STOPPED)).isEqualTo(1);
-    assertThat(world.status("old")).isNotEqualTo(JobStatus.COMPLETED);
+    assertThat(world.statusOf("old")).isNotEqualTo(JobStatus.COMPLETED);
   }
 
   /** Small tasks arrive without end and would take each slot that comes free. */
   @Test
   void wideGangStartsBesideAnEndlessStreamOfSmallTasks() {
-    ScopeWorld world = new ScopeWorld(23, 4, true);
+    EmulatedScope world = new EmulatedScope(23, 4, true);
     world.run(2_000);
     for (int i = 0; i < 60; i++) {
       int number = i;
@@ -76,21 +79,21 @@
   /** Gangs of priority 1 that stopped others threw away a tenth of the fleet's work. */
   @Test
   void workThatIsNotUrgentStopsNobody() {
-    ScopeWorld world = new ScopeWorld(24, 4, true);
+    EmulatedScope world = new EmulatedScope(24, 4, true);
     world.run(2_000);
     world.submit("filler", 2, "second", List.of(step(32, ONE, 3_000).build()), 3_000);
     world.run(1_000);
     StepSpec gang = step(2, WHOLE_WORKER, 1_000).gang(true).build();
     world.submit("wide", 1, "first", List.of(gang), 1_000);
     world.run(8_000);
-    assertThat(world.status("wide")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.statusOf("wide")).isEqualTo(JobStatus.COMPLETED);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 34);
   }
 
   /** Urgent work beyond its guarantee does not destroy many times its own work. */
   @Test
   void urgentWorkBeyondItsGuaranteeWaitsWhereOthersWouldLoseTooMuch() {
-    ScopeWorld world = new ScopeWorld(25, 4, true);
+    EmulatedScope world = new EmulatedScope(25, 4, true);
     world.run(2_000);
     StepSpec long4 = step(4, WHOLE_WORKER, 20_000).gang(true).build();
     world.submit("long", 1, "first", List.of(long4), 20_000);
@@ -99,7 +102,7 @@
     world.run(2_000);
     assertThat(world.checker.firstBegin).doesNotContainKey(URGENT);
     world.run(8_000);
-    assertThat(world.status("long")).isEqualTo(JobStatus.COMPLETED);
-    assertThat(world.status("urgent")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.statusOf("long")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.statusOf("urgent")).isEqualTo(JobStatus.COMPLETED);
   }
 }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
@@ -1,4 +1,4 @@
-package org.primrosegauge.core.scope;
+package org.primrosegauge.standin.scope;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -8,6 +8,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.JobStatus;
+import org.primrosegauge.core.scope.RunOutcome;
+import org.primrosegauge.core.scope.StepSpec;
 
 class ScopeSchedulerTest {
 
@@ -21,34 +24,34 @@
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void runsAllTasksOfChain(boolean gang) {
-    ScopeWorld world = new ScopeWorld(1, 6, true);
+    EmulatedScope world = new EmulatedScope(1, 6, true);
     world.run(2_000);
     StepSpec first = step(5, ONE).gang(gang).build();
     StepSpec second = step(3, WHOLE_WORKER).dependsOn(List.of(0)).gang(gang).build();
     world.submit("j1", 1, "first", List.of(first, second), 2_000);
     world.run(6_000);
     assertThat(world.checker.violations).isEmpty();
-    assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 8);
   }
 
   @Test
   void gangWaitsUntilAllFit() {
-    ScopeWorld world = new ScopeWorld(2, 4, true);
+    EmulatedScope world = new EmulatedScope(2, 4, true);
     world.run(2_000);
     world.submit("small", 1, "first", List.of(step(1, ONE).build()), 4_000);
     world.run(300);
     world.submit("wide", 1, "first", List.of(step(4, WHOLE_WORKER).gang(true).build()), 1_000);
     world.run(2_000);
-    assertThat(world.status("wide")).isEqualTo(JobStatus.QUEUED);
+    assertThat(world.statusOf("wide")).isEqualTo(JobStatus.QUEUED);
     world.run(5_000);
     assertThat(world.checker.violations).isEmpty();
-    assertThat(world.status("wide")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.statusOf("wide")).isEqualTo(JobStatus.COMPLETED);
   }
 
   @Test
   void urgentJobTakesRoomWithinReclaimTime() {
-    ScopeWorld world = new ScopeWorld(3, 4, true);
+    EmulatedScope world = new EmulatedScope(3, 4, true);
     world.run(2_000);
     StepSpec filler = step(32, ONE).checkpoints(true).build();
     world.submit("filler", 2, "second", List.of(filler), 20_000);
@@ -60,12 +63,12 @@
     assertThat(world.checker.firstBegin.get(new JobId("urgent")) - asked).isLessThan(2_900);
     world.run(60_000);
     assertThat(world.checker.violations).isEmpty();
-    assertThat(world.status("filler")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.statusOf("filler")).isEqualTo(JobStatus.COMPLETED);
   }
 
   @Test
   void borrowedGuaranteeIsReclaimed() {
-    ScopeWorld world = new ScopeWorld(4, 3, true);
+    EmulatedScope world = new EmulatedScope(4, 3, true);
     world.run(2_000);
     world.submit("loan", 0, "second", List.of(step(3, WHOLE_WORKER).gang(true).build()), 30_000);
     world.run(1_000);
@@ -76,44 +79,44 @@
 
   @Test
   void cancelledJobStops() {
-    ScopeWorld world = new ScopeWorld(5, 4, true);
+    EmulatedScope world = new EmulatedScope(5, 4, true);
     world.run(2_000);
     world.submit("j1", 1, "first", List.of(step(4, ONE).gang(true).build()), 10_000);
     world.run(1_000);
     world.cancel("j1");
     world.run(1_000);
-    assertThat(world.status("j1")).isEqualTo(JobStatus.CANCELLED);
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.CANCELLED);
     assertThat(world.workers.values().stream().mapToInt(w -> w.runs.size()).sum()).isEqualTo(0);
   }
 
   @Test
   void jobThatAlwaysFailsEndsAsFailed() {
-    ScopeWorld world = new ScopeWorld(6, 4, true);
+    EmulatedScope world = new EmulatedScope(6, 4, true);
     world.run(2_000);
     world.poison("bad");
     world.submit("bad", 1, "first", List.of(step(3, ONE).gang(true).build()), 1_000);
     world.run(15_000);
     assertThat(world.checker.violations).isEmpty();
-    assertThat(world.status("bad")).isEqualTo(JobStatus.FAILED);
+    assertThat(world.statusOf("bad")).isEqualTo(JobStatus.FAILED);
   }
 
   @Test
   void newLeaderGoesOnWithWhatRuns() {
-    ScopeWorld world = new ScopeWorld(7, 4, true);
+    EmulatedScope world = new EmulatedScope(7, 4, true);
     world.run(2_000);
     world.submit("j1", 1, "first", List.of(step(4, ONE).gang(true).build()), 6_000);
     world.run(1_000);
     world.loseLeader(2_000);
     world.run(8_000);
     assertThat(world.checker.violations).isEmpty();
-    assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
   }
 
   /** Found on lfda scale-2: runs ended alone because one member's start went unanswered. */
   @Test
   void gangIsStoppedWhenTheStartOfOneMemberStaysUnanswered() {
-    ScopeWorld world = new ScopeWorld(9, 4, true);
+    EmulatedScope world = new EmulatedScope(9, 4, true);
     world.isCalm = false;
     world.run(2_000);
     world.cut("w1", 9_000);
@@ -121,12 +124,12 @@
     world.run(30_000);
     assertThat(world.checker.violations).isEmpty();
     assertThat(world.checker.counts).doesNotContainKey(RunOutcome.ALONE);
-    assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
   }
 
   @Test
   void cutWorkerKeepsItsTaskUntilTheLeaseIsOver() {
-    ScopeWorld world = new ScopeWorld(8, 4, true);
+    EmulatedScope world = new EmulatedScope(8, 4, true);
     world.isCalm = false;
     world.run(2_000);
     world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 8_000);
@@ -134,7 +137,7 @@
     world.cut("w1", 5_000);
     world.run(10_000);
     assertThat(world.checker.violations).isEmpty();
-    assertThat(world.status("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
   }
 }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeStateMachineTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeStateMachineTest.java
@@ -1,4 +1,4 @@
-package org.primrosegauge.core.scope;
+package org.primrosegauge.standin.scope;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -13,6 +13,7 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.ShrinkingMode;
 import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.StepSpec;
 
 /** Random events over the real ledger and scheduler; the world checks what must hold. */
 class ScopeStateMachineTest {
@@ -28,7 +29,7 @@
   @Property(tries = 120, seed = "20261203", shrinking = ShrinkingMode.OFF)
   void keepsItsPromisesAfterAnyOrderOfEvents(@ForAll("seeds") long seed) {
     Random random = new Random(seed);
-    ScopeWorld world = new ScopeWorld(seed, WORKERS, random.nextBoolean());
+    EmulatedScope world = new EmulatedScope(seed, WORKERS, random.nextBoolean());
     world.isCalm = false;
     world.run(1_500);
     List<String> ids = new ArrayList<>();
@@ -46,11 +47,11 @@
     world.run(SETTLE_MILLIS);
     assertThat(world.checker.violations).isEmpty();
     for (String id : ids) {
-      assertWithMessage(id).that(world.status(id).isFinal()).isTrue();
+      assertWithMessage(id).that(world.statusOf(id).isFinal()).isTrue();
     }
   }
 
-  private static void act(ScopeWorld world, Random random, List<String> ids) {
+  private static void act(EmulatedScope world, Random random, List<String> ids) {
     String worker = "w" + random.nextInt(WORKERS);
     switch (random.nextInt(20)) {
       case 0 -> world.crash(worker, 500 + random.nextInt(4_000));
@@ -70,7 +71,7 @@
     }
   }
 
-  private static void submit(ScopeWorld world, Random random, List<String> ids) {
+  private static void submit(EmulatedScope world, Random random, List<String> ids) {
     String id = "job" + ids.size();
     ids.add(id);
     if (random.nextInt(10) == 0) {
