Room for urgent work: runs that save their progress lose nothing by a stop

Cause: the cost of stopping a run that saves counted the time since its last checkpoint, but a stop saves as well. Runs that had just begun and save nothing were preferred to it.

Change: RunControl.unsavedCoreSeconds is 0 for a run that saves.

Test failing first: ScopeLoadTest.runsThatSaveTheirProgressGiveWayToUrgentWork (29.9 core-seconds lost before, none now).

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunControl.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunControl.java
@@ -46,7 +46,6 @@
   int percent;
   long progressMillis;
   String checkpoint = "";
-  long checkpointMillis;
 
   RunControl(
       RunId id, WorkerSession worker, JobEntry job, StepSpec spec, Phase phase, long nowMillis) {
@@ -57,7 +56,6 @@
     this.phase = phase;
     this.runningSinceMillis = nowMillis;
     this.progressMillis = nowMillis;
-    this.checkpointMillis = nowMillis;
   }
 
   boolean isRunning() {
@@ -75,7 +73,6 @@
       phase = Phase.RUNNING;
       runningSinceMillis = nowMillis;
       progressMillis = nowMillis;
-      checkpointMillis = nowMillis;
     }
   }
 
@@ -87,14 +84,16 @@
     }
     if (!newCheckpoint.isEmpty() && !newCheckpoint.equals(checkpoint)) {
       checkpoint = newCheckpoint;
-      checkpointMillis = nowMillis;
     }
   }
 
-  /** Returns the processor time that would be lost by a stop now, with accelerators weighed in. */
+  /**
+   * Returns the processor time that would be lost by a stop now, with accelerators weighed in. A
+   * task that saves its progress also does so when it is stopped.
+   */
   double unsavedCoreSeconds(long nowMillis) {
-    long since = spec.checkpoints() ? checkpointMillis : runningSinceMillis;
-    return weight() * Math.max(0, nowMillis - since) / 1_000.0;
+    long elapsed = Math.max(0, nowMillis - runningSinceMillis);
+    return spec.checkpoints() ? 0 : weight() * elapsed / 1_000.0;
   }
 
   /** Returns the cores that the run takes, with each accelerator counted as several. */
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeLoadTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeLoadTest.java
@@ -105,4 +105,21 @@
     assertThat(world.statusOf("long")).isEqualTo(JobStatus.COMPLETED);
     assertThat(world.statusOf("urgent")).isEqualTo(JobStatus.COMPLETED);
   }
+
+  /** A task that saves its progress does so when it is stopped, so nothing of it is lost. */
+  @Test
+  void runsThatSaveTheirProgressGiveWayToUrgentWork() {
+    EmulatedScope world = new EmulatedScope(26, 2, true);
+    world.run(2_000);
+    StepSpec saving = step(1, WHOLE_WORKER, 8_000).checkpoints(true).build();
+    world.submit("saving", 2, "second", List.of(saving), 8_000);
+    world.run(1_700);
+    world.submit("other", 2, "second", List.of(step(1, WHOLE_WORKER, 8_000).build()), 8_000);
+    world.run(150);
+    world.submit("urgent", 0, "first", List.of(step(1, WHOLE_WORKER, 500).build()), 500);
+    world.run(2_000);
+    assertThat(world.checker.firstBegin).containsKey(URGENT);
+    assertThat(world.meter.stops()).isEqualTo(1);
+    assertThat(world.meter.lostCoreSeconds()).isEqualTo(0.0);
+  }
 }
