bin/primrosegauge explain ID: the story of a job from the logs of many processes, with its likely causes

Lines of any number of processes, with or without a prefix before the JSON, are put in order of time; clocks that differ by more than 1.5 s are found from the lines in which processes name the same new leader. Beside the job's own lines stand those about its workers and the leader from 3 s before to 3 s after. Rules over the lines name refusals, cancels, failed runs, lost workers, preemption, runs that stood still, broken gangs, starts in doubt, changes of the leader and long waits. Exit code 3 when no line names the job.

Tests: CausesTest (each rule, order by corrected clocks, what belongs to a story, prefixes).

--- a/primrosegauge-cli/src/main/java/org/primrosegauge/cli/PrimrosegaugeCommand.java
+++ b/primrosegauge-cli/src/main/java/org/primrosegauge/cli/PrimrosegaugeCommand.java
@@ -29,6 +29,7 @@
       InstanceCommand.class,
       JobCommand.class,
       RequestCommand.class,
+      ExplainCommand.class,
       AutoComplete.GenerateCompletion.class
     },
     footer = {
@@ -40,6 +41,7 @@
       "  primrosegauge domain out --work checkpoint lakes-west",
       "  primrosegauge job submit --customer price-desk --tasks 4 --accelerators 2 rebuild",
       "  primrosegauge request --customer price-desk --service bulletin-svc 'prices of urea'",
+      "  primrosegauge explain 5c0e7a21d94b36f8 entry-1.log ledger-1.log ledger-2.log",
       "",
       "Exit codes:",
       "  0 done, 1 faults in the input, 2 wrong command line, 3 not found, 4 conflict,",
