Metrics: histograms of waits, times, calls and syncs; queues and their ages by priority

Ruled out: percentile histograms of the library (some 70 buckets a series, which machines of 330 MB should not carry).

Cost: not measured yet.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/metrics/NodeMetrics.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/metrics/NodeMetrics.java
@@ -1,9 +1,14 @@
 package org.primrosegauge.node.metrics;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
 import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
@@ -16,6 +21,23 @@
  */
 public final class NodeMetrics {
 
+  /** Bounds of the histograms' buckets. */
+  private static final Duration[] BUCKETS = {
+    Duration.ofMillis(5),
+    Duration.ofMillis(20),
+    Duration.ofMillis(100),
+    Duration.ofMillis(250),
+    Duration.ofMillis(500),
+    Duration.ofSeconds(1),
+    Duration.ofMillis(2_500),
+    Duration.ofSeconds(5),
+    Duration.ofSeconds(10),
+    Duration.ofSeconds(30)
+  };
+
+  private record TimerKey(String name, String where, String outcome) {}
+
+  private final Map<TimerKey, Timer> timers = new ConcurrentHashMap<>();
   private final PrometheusMeterRegistry registry =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
@@ -62,6 +84,38 @@
     registry.counter(name, "where", where, "reason", label(reason)).increment();
   }
 
+  /**
+   * Notes how long something took, in a histogram.
+   *
+   * @param name name of the histogram, with dots
+   * @param where part of the instance
+   * @param outcome how it went
+   * @param millis how long it took, in milliseconds
+   * @since 0.3
+   */
+  public void time(String name, String where, Enum<?> outcome, long millis) {
+    time(name, where, label(outcome), millis);
+  }
+
+  /**
+   * Notes how long something took, in a histogram.
+   *
+   * @param outcome how it went: one of a few words
+   * @since 0.3
+   */
+  public void time(String name, String where, String outcome, long millis) {
+    timers
+        .computeIfAbsent(new TimerKey(name, where, outcome), this::timer)
+        .record(millis, TimeUnit.MILLISECONDS);
+  }
+
+  private Timer timer(TimerKey key) {
+    return Timer.builder(key.name())
+        .tags("where", key.where(), "outcome", key.outcome())
+        .serviceLevelObjectives(BUCKETS)
+        .register(registry);
+  }
+
   /**
    * Registers a gauge that is read when the metrics are.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -44,6 +44,7 @@
   private final MonotonicClock wallClock;
   private final WorkerOrders workers;
   private final ScopeEventLog events;
+  private final ScopeMeters meters;
 
   SchedulerRunner(
       ScopeScheduler scheduler,
@@ -57,6 +58,7 @@
     this.wallClock = ports.wallClock();
     this.workers = ports.workers();
     this.events = ports.events();
+    this.meters = ports.meters();
   }
 
   // Office
@@ -130,27 +132,38 @@
         mayOrder
             ? workers.start(order)
             : Mono.just(new WorkerOrders.StartReply(StartAnswer.NO_ANSWER, 0));
+    final long sent = clock.nowMillis();
     reply.subscribe(
-        answered ->
-            later(
-                (leader, present) ->
-                    leader.startAnswered(
-                        order.run(), answered.answer(), answered.clockMillis(), present)));
+        answered -> {
+          meters.workerAnswered("start", answered.answer(), clock.nowMillis() - sent);
+          later(
+              (leader, present) ->
+                  leader.startAnswered(
+                      order.run(), answered.answer(), answered.clockMillis(), present));
+        });
   }
 
   private void stop(ScopeAction.Stop order, boolean mayOrder) {
     RunId run = order.run();
     Mono<StopAnswer> reply = mayOrder ? workers.stop(order) : Mono.just(StopAnswer.NO_ANSWER);
+    final long sent = clock.nowMillis();
     reply.subscribe(
-        answered -> later((leader, present) -> leader.stopAnswered(run, answered, present)));
+        answered -> {
+          meters.workerAnswered("stop", answered, clock.nowMillis() - sent);
+          later((leader, present) -> leader.stopAnswered(run, answered, present));
+        });
   }
 
   private void look(ScopeAction.Look order, boolean mayOrder) {
     WorkerKey worker = order.worker();
     Mono<LookAnswer> reply =
         mayOrder ? workers.look(order) : Mono.just(LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
+    final long sent = clock.nowMillis();
     reply.subscribe(
-        answered -> later((leader, present) -> leader.lookAnswered(worker, answered, present)));
+        answered -> {
+          meters.workerAnswered("look", answered.kind(), clock.nowMillis() - sent);
+          later((leader, present) -> leader.lookAnswered(worker, answered, present));
+        });
   }
 
   /** Hands an answer to the log thread; it comes from an event loop. */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -52,6 +52,7 @@
   private final MonotonicClock clock;
   private final MonotonicClock wallClock;
   private final ScopeEventLog events;
+  private final ScopeMeters meters;
   private final SealedCodec codec = new SealedCodec(ScopeCommand.class);
   private final ScopeLedger ledger;
   private final SchedulerRunner scheduler;
@@ -68,6 +69,7 @@
    * @param transport connections to other instances
    * @param workers port to the workers
    * @param events log of decisions
+   * @param meters times and queue lengths
    * @param onStorageFailure told once when the storage becomes unusable
    * @since 0.2
    */
@@ -79,6 +81,7 @@
       PeerTransport transport,
       WorkerOrders workers,
       ScopeEventLog events,
+      ScopeMeters meters,
       Consumer<StorageException> onStorageFailure) {}
 
   /**
@@ -92,6 +95,7 @@
     this.clock = ports.clock();
     this.wallClock = ports.wallClock();
     this.events = ports.events();
+    this.meters = ports.meters();
     this.ledger = ledger;
     this.calls = new ScopeCalls(ledger);
     this.log =
@@ -317,9 +321,14 @@
     @Override
     public ScopeResult apply(LogEntry entry) throws WireException {
       ScopeCommand command = codec.read(entry.command(), ScopeCommand.class);
-      ScopeResult result = ledger.apply(command);
-      if (scheduler.isInOffice()) {
+      boolean leads = scheduler.isInOffice();
+      if (leads) {
+        meters.before(command, ledger);
+      }
+      final ScopeResult result = ledger.apply(command);
+      if (leads) {
         events.applied(command);
+        meters.after(ledger, wallClock.nowMillis());
       }
       scheduler.run((leader, present) -> leader.applied(command, present));
       return result;
@@ -350,6 +359,7 @@
     public void tick(long nowMillis) {
       scheduler.takeOfficeIfDue();
       scheduler.run(ScopeScheduler::tick);
+      meters.tick(ledger, scheduler.isInOffice(), nowMillis, wallClock.nowMillis());
     }
   }
 
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
@@ -14,6 +14,7 @@
 import org.primrosegauge.node.duty.Duty;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.journal.Journal;
+import org.primrosegauge.node.log.TimedStorage;
 import org.primrosegauge.node.metrics.NodeMetrics;
 import org.primrosegauge.node.scope.cfg.ScopeNodeSettings;
 import org.primrosegauge.node.transport.PeerAddress;
@@ -97,13 +98,16 @@
             state,
             new ScopeScheduler(state, settings.scheduling()),
             new ScopeDuty.Ports(
-                new Journal(settings.dataFolder().orElseThrow().resolve(LOG_FOLDER)),
+                new TimedStorage(
+                    new Journal(settings.dataFolder().orElseThrow().resolve(LOG_FOLDER)),
+                    millis -> metrics.time("primrosegauge.log.sync", "journal", "done", millis)),
                 random,
                 clock,
                 System::currentTimeMillis,
                 transport,
                 workers,
                 new ScopeEventLog(metrics),
+                new ScopeMeters(metrics),
                 onStorageFailure));
     client.attach(duty);
     return duty;
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
@@ -0,0 +1,174 @@
+package org.primrosegauge.node.scope;
+
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.scope.JobEntry;
+import org.primrosegauge.core.scope.JobStatus;
+import org.primrosegauge.core.scope.QueueSpec;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.node.metrics.NodeMetrics;
+
+/**
+ * Times and queue lengths of a scope at the instance that leads it.
+ *
+ * <p>Used on the log thread, except for {@link #workerAnswered}, which is thread-safe.
+ *
+ * @since 0.3
+ */
+public final class ScopeMeters {
+
+  private static final long GAUGES_MILLIS = 1_000;
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** What waits in the queues of one priority. */
+  private static final class Waiting {
+    long jobs;
+    long sinceMillis = Long.MAX_VALUE;
+  }
+
+  private final NodeMetrics metrics;
+  private final MultiGauge waitingJobs;
+  private final MultiGauge longestWait;
+  private final Set<JobId> queuedBefore = new HashSet<>();
+  private final Map<JobId, JobStatus> openBefore = new HashMap<>();
+  private long nextGaugesMillis;
+
+  /**
+   * Creates meters in a registry.
+   *
+   * @since 0.3
+   */
+  public ScopeMeters(NodeMetrics metrics) {
+    this.metrics = metrics;
+    this.waitingJobs =
+        MultiGauge.builder("primrosegauge.scope.waiting.jobs")
+            .description("Accepted jobs of which nothing has started, by priority")
+            .register(metrics.registry());
+    this.longestWait =
+        MultiGauge.builder("primrosegauge.scope.waiting.longest.seconds")
+            .description("Age of the oldest such job, by priority")
+            .register(metrics.registry());
+  }
+
+  // Calls and jobs
+
+  /**
+   * Notes the answer of a worker, or that none came.
+   *
+   * @since 0.3
+   */
+  public void workerAnswered(String call, Enum<?> answer, long millis) {
+    metrics.time("primrosegauge.worker.call", call, answer, millis);
+  }
+
+  /**
+   * Looks at the jobs that a command is about, before it is applied.
+   *
+   * @since 0.3
+   */
+  public void before(ScopeCommand command, ScopeLedger ledger) {
+    queuedBefore.clear();
+    openBefore.clear();
+    for (JobId job : jobsOf(command)) {
+      JobStatus status = ledger.job(job).map(JobEntry::status).orElse(null);
+      if (status == JobStatus.QUEUED) {
+        queuedBefore.add(job);
+      }
+      if (status != null && !status.isFinal()) {
+        openBefore.put(job, status);
+      }
+    }
+  }
+
+  /**
+   * Notes which of these jobs have begun or ended by the command.
+   *
+   * @since 0.3
+   */
+  public void after(ScopeLedger ledger, long wallMillis) {
+    for (JobId job : openBefore.keySet()) {
+      JobEntry entry = ledger.job(job).orElse(null);
+      if (entry == null) {
+        continue;
+      }
+      long age = Math.max(0, wallMillis - entry.job().submittedMillis());
+      String priority = "priority-" + priorityOf(entry, ledger);
+      if (queuedBefore.contains(job) && entry.status() == JobStatus.RUNNING) {
+        metrics.time("primrosegauge.job.wait", priority, entry.status(), age);
+      }
+      if (entry.status().isFinal()) {
+        metrics.time("primrosegauge.job.time", priority, entry.status(), age);
+      }
+    }
+  }
+
+  private static List<JobId> jobsOf(ScopeCommand command) {
+    if (command instanceof ScopeCommand.Place place) {
+      return place.placements().stream().map(each -> each.run().task().job()).distinct().toList();
+    } else if (command instanceof ScopeCommand.RecordEnds ends) {
+      return ends.ends().stream().map(each -> each.run().task().job()).distinct().toList();
+    } else if (command instanceof ScopeCommand.Cancel cancel) {
+      return List.of(cancel.job());
+    }
+    return List.of();
+  }
+
+  private static int priorityOf(JobEntry entry, ScopeLedger ledger) {
+    return ledger
+        .configuration()
+        .queue(entry.job().queue())
+        .map(QueueSpec::priority)
+        .orElse(Integer.MAX_VALUE);
+  }
+
+  // Queues
+
+  /**
+   * Renews the queue lengths once a second.
+   *
+   * @param leads whether this instance decides; otherwise nothing waits here
+   * @since 0.3
+   */
+  public void tick(ScopeLedger ledger, boolean leads, long nowMillis, long wallMillis) {
+    if (nowMillis < nextGaugesMillis) {
+      return;
+    }
+    nextGaugesMillis = nowMillis + GAUGES_MILLIS;
+    Map<Integer, Waiting> waiting = leads ? waiting(ledger) : Map.of();
+    waitingJobs.register(rows(waiting, each -> each.jobs), true);
+    longestWait.register(
+        rows(waiting, each -> Math.max(0, wallMillis - each.sinceMillis) / MILLIS_PER_SECOND),
+        true);
+  }
+
+  private static Map<Integer, Waiting> waiting(ScopeLedger ledger) {
+    Map<Integer, Waiting> found = new TreeMap<>();
+    for (JobEntry entry : ledger.jobs()) {
+      if (entry.status() == JobStatus.QUEUED) {
+        Waiting same = found.computeIfAbsent(priorityOf(entry, ledger), key -> new Waiting());
+        same.jobs++;
+        same.sinceMillis = Math.min(same.sinceMillis, entry.job().submittedMillis());
+      }
+    }
+    return found;
+  }
+
+  private static List<MultiGauge.Row<?>> rows(
+      Map<Integer, Waiting> waiting, java.util.function.ToDoubleFunction<Waiting> figure) {
+    return waiting.entrySet().stream()
+        .<MultiGauge.Row<?>>map(
+            each ->
+                MultiGauge.Row.of(
+                    Tags.of("priority", each.getKey().toString()),
+                    figure.applyAsDouble(each.getValue())))
+        .toList();
+  }
+}
