A job whose turn would come too late is refused at once, with when to come back

Cause: every job was accepted; one that stood behind a backlog longer than three times its objective waited in vain, and its caller learnt nothing.

Retry-After is when the backlog has shrunk enough, spread over a quarter of that time by the job's id, 1 to 30 s. Urgent jobs of customers with a guarantee, jobs that recur and jobs that last are never refused; nor is anything while no worker is known. The refusal is true: nothing was proposed.

The longest chain of a job is computed in one place (ScopeJob.chainMillis).

--- /dev/null
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeAdmission.java
@@ -0,0 +1,122 @@
+package org.primrosegauge.core.scope;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import org.primrosegauge.core.job.Resources;
+
+/**
+ * Decides whether a job is turned away because its turn would come when its result is worth nothing
+ * any more.
+ *
+ * <p>Answers a backlog that is longer than callers' patience: they learn at once that their job has
+ * not run, and when to come back, instead of waiting in vain. They come back spread over time, when
+ * the backlog will have shrunk.
+ *
+ * <p>Stateless.
+ *
+ * @since 0.3
+ */
+public final class ScopeAdmission {
+
+  /** An objective missed by less than this factor is still worth a part. */
+  private static final int LATE_FACTOR = 3;
+
+  /** Part of the estimated wait that counts: declared times are rough, and a refusal is final. */
+  private static final double CERTAIN_SHARE = 0.5;
+
+  /** Part of the time until the return over which those who are turned away are spread. */
+  private static final double SPREAD_SHARE = 0.25;
+
+  private static final long LEAST_RETURN_MILLIS = 1_000;
+  private static final long MOST_RETURN_MILLIS = 30_000;
+
+  private ScopeAdmission() {}
+
+  /**
+   * Returns when a caller should come back with a job, in milliseconds from now; empty when the job
+   * is to be accepted.
+   *
+   * @param ledger jobs that were accepted before and workers that are there
+   * @since 0.3
+   */
+  public static OptionalLong comeBackMillis(ScopeJob job, ScopeLedger ledger) {
+    Optional<QueueSpec> queue = ledger.configuration().queue(job.queue());
+    boolean hasObjective =
+        queue.isPresent()
+            && job.recurrence().equals(Recurrence.NONE)
+            && job.steps().stream().noneMatch(StepSpec::longRunning);
+    if (!hasObjective || isGuaranteed(job, queue.get(), ledger)) {
+      return OptionalLong.empty();
+    }
+    long chain = job.chainMillis();
+    long allowed = (long) (queue.get().slackFactor() * chain) + queue.get().latencyMillis();
+    double wait = CERTAIN_SHARE * waitMillis(job, queue.get(), ledger);
+    double tooLong = wait + chain - LATE_FACTOR * (double) allowed;
+    return tooLong <= 0
+        ? OptionalLong.empty()
+        : OptionalLong.of(spread(job, tooLong / CERTAIN_SHARE));
+  }
+
+  private static boolean isGuaranteed(ScopeJob job, QueueSpec queue, ScopeLedger ledger) {
+    return queue.priority() == 0
+        && job.customer() != null
+        && ledger.configuration().guaranteedTo(job.customer()) > 0;
+  }
+
+  private static long spread(ScopeJob job, double millis) {
+    double later = new SplittableRandom(job.id().hashCode()).nextDouble(SPREAD_SHARE);
+    double back = Math.max(LEAST_RETURN_MILLIS, millis) * (1 + later);
+    return (long) Math.min(MOST_RETURN_MILLIS, back);
+  }
+
+  /** Returns how long the workers need for what waits before a new job, in milliseconds. */
+  private static double waitMillis(ScopeJob job, QueueSpec queue, ScopeLedger ledger) {
+    Resources capacity =
+        ledger.workers().stream()
+            .map(WorkerRecord::info)
+            .filter(info -> info.pool().equals(job.pool()))
+            .filter(info -> !ledger.domainsOut().contains(info.domain()))
+            .map(WorkerInfo::capacity)
+            .reduce(Resources.NONE, Resources::plus);
+    if (capacity.equals(Resources.NONE)) {
+      return 0;
+    }
+    double accelerators = 0;
+    double cores = 0;
+    for (JobEntry entry : ledger.jobs()) {
+      boolean isBefore =
+          !entry.status().isFinal()
+              && entry.job().pool().equals(job.pool())
+              && priorityOf(entry, ledger) <= queue.priority();
+      for (StepRecord step : isBefore ? stepsOf(entry) : List.<StepRecord>of()) {
+        double millis = (double) waitingTasks(step) * step.spec().estimatedMillis();
+        accelerators += millis * step.spec().task().accelerators();
+        cores += millis * step.spec().task().milliCores();
+      }
+    }
+    return Math.max(
+        accelerators / Math.max(1, capacity.accelerators()),
+        cores / Math.max(1, capacity.milliCores()));
+  }
+
+  private static List<StepRecord> stepsOf(JobEntry entry) {
+    return entry.occurrences().values().stream().flatMap(List::stream).toList();
+  }
+
+  private static long waitingTasks(StepRecord step) {
+    boolean isEndless = step.spec().longRunning() || step.isDone();
+    return isEndless
+        ? 0
+        : step.tasks().stream().filter(task -> !task.isDone() && !task.isOpen()).count();
+  }
+
+  private static int priorityOf(JobEntry entry, ScopeLedger ledger) {
+    return ledger
+        .configuration()
+        .queue(entry.job().queue())
+        .map(QueueSpec::priority)
+        .orElse(Integer.MAX_VALUE);
+  }
+}
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
@@ -34,4 +34,23 @@
   public ScopeJob {
     steps = List.copyOf(steps);
   }
+
+  /**
+   * Returns the estimated time of the longest chain of steps, in milliseconds.
+   *
+   * @since 0.3
+   */
+  public long chainMillis() {
+    long[] ends = new long[steps.size()];
+    long longest = 0;
+    for (int i = 0; i < ends.length; i++) {
+      long start = 0;
+      for (int earlier : steps.get(i).dependsOn()) {
+        start = Math.max(start, ends[earlier]);
+      }
+      ends[i] = start + steps.get(i).estimatedMillis();
+      longest = Math.max(longest, ends[i]);
+    }
+    return longest;
+  }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
@@ -8,10 +8,8 @@
 import org.primrosegauge.core.scope.Present;
 import org.primrosegauge.core.scope.QueueSpec;
 import org.primrosegauge.core.scope.Recurrence;
-import org.primrosegauge.core.scope.ScopeJob;
 import org.primrosegauge.core.scope.StepKey;
 import org.primrosegauge.core.scope.StepRecord;
-import org.primrosegauge.core.scope.StepSpec;
 
 /**
  * Puts the steps that wait for workers in order.
@@ -123,7 +121,7 @@
     double slack = queue == null ? 1 : queue.slackFactor();
     long latency = queue == null ? 0 : queue.latencyMillis();
     int priority = queue == null ? Integer.MAX_VALUE : queue.priority();
-    long allowed = (long) (slack * chainMillis(entry.job())) + latency;
+    long allowed = (long) (slack * entry.job().chainMillis()) + latency;
     long rest = step.spec().estimatedMillis();
     long objective = begin + allowed;
     int lateness = 0;
@@ -133,20 +131,4 @@
     }
     return new Demand(key, entry, step, tasks, priority, lateness, objective);
   }
-
-  /** Returns the estimated time of the longest chain of steps, in milliseconds. */
-  static long chainMillis(ScopeJob job) {
-    List<StepSpec> steps = job.steps();
-    long[] ends = new long[steps.size()];
-    long longest = 0;
-    for (int i = 0; i < ends.length; i++) {
-      long start = 0;
-      for (int earlier : steps.get(i).dependsOn()) {
-        start = Math.max(start, ends[earlier]);
-      }
-      ends[i] = start + steps.get(i).estimatedMillis();
-      longest = Math.max(longest, ends[i]);
-    }
-    return longest;
-  }
 }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.primrosegauge.core.ErrorKind;
@@ -16,7 +17,9 @@
 import org.primrosegauge.core.log.ReplicaId;
 import org.primrosegauge.core.log.cfg.LogSettings;
 import org.primrosegauge.core.scope.JobEntry;
+import org.primrosegauge.core.scope.ScopeAdmission;
 import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeJob;
 import org.primrosegauge.core.scope.ScopeLedger;
 import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.ScopeScheduler;
@@ -238,9 +241,13 @@
     if (ledger.job(calls.accept(check.admitted(), submit.job(), 0).id()).isPresent()) {
       return Mono.just(new ScopeMessage.Done());
     }
-    return propose(
-        new ScopeCommand.Submit(
-            calls.accept(check.admitted(), submit.job(), wallClock.nowMillis())));
+    ScopeJob job = calls.accept(check.admitted(), submit.job(), wallClock.nowMillis());
+    OptionalLong comeBack = ScopeAdmission.comeBackMillis(job, ledger);
+    if (comeBack.isPresent()) {
+      events.refused(ScopeRefusal.BACKLOG, submit.address());
+      return Mono.just(new ScopeMessage.Refused(ScopeRefusal.BACKLOG, comeBack.getAsLong()));
+    }
+    return propose(new ScopeCommand.Submit(job));
   }
 
   private Answer state(CallerAddress address) throws InvalidInputException {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
@@ -137,8 +137,15 @@
    * Refuses a question, which was not carried out.
    *
    * @param reason why
+   * @param comeBackMillis when to come back, in milliseconds; 0 when the reason says it
    */
-  record Refused(ScopeRefusal reason) implements Answer {}
+  record Refused(ScopeRefusal reason, long comeBackMillis) implements Answer {
+
+    /** Creates a refusal whose reason says when to come back, if ever. */
+    public Refused(ScopeRefusal reason) {
+      this(reason, 0);
+    }
+  }
 
   /**
    * Tells the state of a job.
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
@@ -18,6 +18,8 @@
   BAD_ID,
   /** Too many proposals wait for the log. */
   OVERLOADED,
+  /** The job's turn would come when its result is worth nothing any more. */
+  BACKLOG,
   /** No leader can be reached. */
   NO_LEADER
 }
