--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -41,7 +40,6 @@
 import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.ScopeScheduler;
 import org.primrosegauge.core.scope.StartAnswer;
-import org.primrosegauge.core.scope.StepKey;
 import org.primrosegauge.core.scope.StepSpec;
 import org.primrosegauge.core.scope.StopAnswer;
 import org.primrosegauge.core.scope.TaskKey;
@@ -73,21 +71,13 @@
   private static final int MAX_ATTEMPTS = 3;
   static final ServiceId POOL = new ServiceId("pool");
 
-  private record Event(long at, long order, Runnable task) implements Comparable<Event> {
-    @Override
-    public int compareTo(Event other) {
-      int byTime = Long.compare(at, other.at);
-      return byTime != 0 ? byTime : Long.compare(order, other.order);
-    }
-  }
-
   private record Waiting(EmulatedWorker worker, long until, int knownEnds, int epoch) {}
 
   private record Proposal(ScopeCommand command, long number) {}
 
   private final Random random;
   private final List<Proposal> proposals = new ArrayList<>();
-  private final PriorityQueue<Event> events = new PriorityQueue<>();
+  private final Timeline timeline = new Timeline();
   private final EmulatedFleet fleet;
   final Map<String, EmulatedWorker> workers = new LinkedHashMap<>();
   private final Map<WorkerKey, Long> nextBeat = new HashMap<>();
@@ -97,15 +87,15 @@
   private final Map<JobId, List<Long>> works = new HashMap<>();
   private final Map<JobId, Long> finished = new LinkedHashMap<>();
   private final Set<JobId> poison = new HashSet<>();
-  private final Map<StepKey, Integer> wholeAttempt = new HashMap<>();
   final ScopeChecker checker = new ScopeChecker(this);
+  final EmulatedGangs gangs = new EmulatedGangs(this);
   final WorkMeter meter = new WorkMeter();
   final ScopeLedger ledger = new ScopeLedger(RETENTION_MILLIS);
   private ScopeScheduler scheduler;
   private int epoch;
   private long term;
   long now = 10_000;
-  private long order;
+  private long proposed;
   double lostAnswers;
   double lateOrders;
   boolean isCalm = true;
@@ -303,7 +293,7 @@
   }
 
   private void propose(ScopeCommand command) {
-    Proposal proposal = new Proposal(command, order++);
+    Proposal proposal = new Proposal(command, proposed++);
     proposals.add(proposal);
     at(
         now + COMMIT_MILLIS,
@@ -537,6 +527,10 @@
 
   // Accessors
 
+  EmulatedFleet fleet() {
+    return fleet;
+  }
+
   /**
    * Returns the present, in milliseconds.
    *
@@ -621,7 +615,7 @@
    * @since 0.3
    */
   public void at(long when, Runnable task) {
-    events.add(new Event(when, order++, task));
+    timeline.at(when, task);
   }
 
   /**
@@ -633,9 +627,7 @@
     long end = now + millis;
     while (now < end) {
       now += STEP_MILLIS;
-      while (!events.isEmpty() && events.peek().at() <= now) {
-        events.poll().task().run();
-      }
+      timeline.runUntil(now);
       for (EmulatedWorker worker : List.copyOf(workers.values())) {
         beat(worker);
         worker.advance(now, STEP_MILLIS);
@@ -670,68 +662,9 @@
     return poison.contains(job);
   }
 
-  private boolean isThere(RunId id) {
-    return workers.values().stream().anyMatch(worker -> worker.runs.containsKey(id));
-  }
-
-  boolean isGangPresent(EmulatedWorker.Run run) {
-    StepKey step = run.id.task().stepKey();
-    boolean isWhole = true;
-    for (int i = 0; i < run.spec.count() && isWhole; i++) {
-      isWhole = isThere(new RunId(step.task(i), run.id.attempt()));
-    }
-    if (isWhole) {
-      wholeAttempt.put(step, run.id.attempt());
-    }
-    return isWhole;
-  }
-
-  boolean wasGangWhole(EmulatedWorker.Run run) {
-    return wholeAttempt.getOrDefault(run.id.task().stepKey(), 0) == run.id.attempt();
-  }
-
-  boolean hasGangMemberEnded(EmulatedWorker.Run run) {
-    StepKey step = run.id.task().stepKey();
-    for (int i = 0; i < run.spec.count(); i++) {
-      if (checker.hasEnded(new RunId(step.task(i), run.id.attempt()))) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Returns how long a run takes to stop; the same each time. */
   long stopMillis(RunId run) {
     int range = fleet.mostStopMillis() - fleet.leastStopMillis();
     return fleet.leastStopMillis() + new SplittableRandom(run.hashCode()).nextInt(range + 1);
   }
-
-  /** Returns how many times as long a run takes for where it and its gang run. */
-  int distanceFactor(EmulatedWorker.Run run, String rack) {
-    boolean isFar = !run.spec.dataRack().isEmpty() && !run.spec.dataRack().equals(rack);
-    boolean isSpread = run.spec.gang() && run.spec.rackLocal() && hasMemberElsewhere(run, rack);
-    return isFar || isSpread ? fleet.distanceFactor() : 1;
-  }
-
-  private boolean hasMemberElsewhere(EmulatedWorker.Run run, String rack) {
-    StepKey step = run.id.task().stepKey();
-    return workers.values().stream()
-        .filter(worker -> !worker.info.rack().equals(rack))
-        .flatMap(worker -> worker.runs.keySet().stream())
-        .anyMatch(other -> other.task().stepKey().equals(step));
-  }
-
-  /** Ends a run as done, with all members of its gang. */
-  void done(EmulatedWorker.Run run) {
-    int count = run.spec.gang() ? run.spec.count() : 1;
-    for (int i = 0; i < count; i++) {
-      TaskKey task = run.spec.gang() ? run.id.task().stepKey().task(i) : run.id.task();
-      RunId id = new RunId(task, run.id.attempt());
-      for (EmulatedWorker worker : workers.values()) {
-        if (worker.runs.containsKey(id)) {
-          worker.end(worker.runs.get(id), RunOutcome.DONE);
-        }
-      }
-    }
-  }
 }
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
@@ -205,11 +205,11 @@
       end(run, RunOutcome.STOPPED);
       return;
     }
-    boolean isWhole = !run.spec.gang() || world.isGangPresent(run);
+    boolean isWhole = !run.spec.gang() || world.gangs.isWhole(run);
     if (!isWhole) {
-      if (world.hasGangMemberEnded(run)) {
+      if (world.gangs.hasMemberEnded(run)) {
         end(run, RunOutcome.BROKEN);
-      } else if (now - run.startedMillis > GANG_TIMEOUT_MILLIS && !world.wasGangWhole(run)) {
+      } else if (now - run.startedMillis > GANG_TIMEOUT_MILLIS && !world.gangs.wasWhole(run)) {
         end(run, RunOutcome.ALONE);
       }
       return;
@@ -217,14 +217,15 @@
     if (stalls) {
       return;
     }
-    run.progressMillis += Math.max(1, step / (slowness * world.distanceFactor(run, info.rack())));
+    run.progressMillis +=
+        Math.max(1, step / (slowness * world.gangs.distanceFactor(run, info.rack())));
     if (run.spec.checkpoints() && run.progressMillis % CHECKPOINT_MILLIS < step) {
       save(run);
     }
     if (run.fails && run.progressMillis > run.workMillis / 3) {
       end(run, RunOutcome.FAILED);
     } else if (run.progressMillis >= run.workMillis) {
-      world.done(run);
+      world.gangs.done(run);
     }
   }
 
