A refusal of the moment is not passed on while an earlier try of the same order may still be under way

Found by reading the diff: a submission whose first try got no answer is sent again; if the leader then refuses the second for its backlog, the first may still arrive, or be in the log and not applied, and the job runs although its caller was told that it has not. The same held for OVERLOADED and, after an election, for NO_LEADER given by an instance on the way.

Change: ScopeClient turns such a refusal into "unknown" when an earlier try may have run; the leader does not refuse a job that it has proposed and not applied.

Test failing first: ScopeClientTest.refusalAfterAnOpenTryIsNotPassedOn. The leader's part has no test of its own.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
@@ -195,7 +195,7 @@
               }
               return answer instanceof ScopeMessage.Unknown
                   ? again(call, progress.or(call.unanswered()))
-                  : Mono.just(answer);
+                  : Mono.just(truthful(answer, progress));
             })
         .onErrorResume(
             error -> {
@@ -206,6 +206,15 @@
             });
   }
 
+  /** An earlier try that is still under way may yet be accepted where a later one is refused. */
+  private static Answer truthful(Answer answer, Progress progress) {
+    boolean isOpen =
+        progress == Progress.MAY_HAVE_RUN
+            && answer instanceof ScopeMessage.Refused refused
+            && refused.reason().isOfTheMoment();
+    return isOpen ? new ScopeMessage.Unknown() : answer;
+  }
+
   /**
    * Questions change nothing when they come twice, so one that may have been done is sent again.
    */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -1,13 +1,16 @@
 package org.primrosegauge.node.scope;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.InvalidInputException;
+import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.StorageException;
 import org.primrosegauge.core.Term;
@@ -62,6 +65,9 @@
   private final ScopeCalls calls;
   private final ReplicatedLog<ScopeResult> log;
 
+  /** Jobs that were proposed here and are not applied yet; of the present term only. */
+  private final Set<JobId> proposedJobs = new HashSet<>();
+
   /**
    * What the duty needs of its process.
    *
@@ -243,10 +249,12 @@
     }
     ScopeJob job = calls.accept(check.admitted(), submit.job(), wallClock.nowMillis());
     OptionalLong comeBack = ScopeAdmission.comeBackMillis(job, ledger);
-    if (comeBack.isPresent()) {
+    // A job that was proposed a moment ago may be accepted yet: the same again is no new job.
+    if (comeBack.isPresent() && !proposedJobs.contains(job.id())) {
       events.refused(ScopeRefusal.BACKLOG, submit.address());
       return Mono.just(new ScopeMessage.Refused(ScopeRefusal.BACKLOG, comeBack.getAsLong()));
     }
+    proposedJobs.add(job.id());
     return propose(new ScopeCommand.Submit(job));
   }
 
@@ -333,6 +341,9 @@
         meters.before(command, ledger);
       }
       final ScopeResult result = ledger.apply(command);
+      if (command instanceof ScopeCommand.Submit submit) {
+        proposedJobs.remove(submit.job().id());
+      }
       if (leads) {
         events.applied(command);
         meters.after(ledger, wallClock.nowMillis());
@@ -359,6 +370,7 @@
     @Override
     public void leaderChanged(InstanceId leader, Term term) {
       events.leaderChanged(leader, term);
+      proposedJobs.clear();
       scheduler.leaveOfficeIfDue();
     }
 
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
@@ -21,5 +21,15 @@
   /** The job's turn would come when its result is worth nothing any more. */
   BACKLOG,
   /** No leader can be reached. */
-  NO_LEADER
+  NO_LEADER;
+
+  /**
+   * Tells whether the same call may be accepted a moment later. If an earlier try of a call is
+   * still under way, such a refusal says nothing about it.
+   *
+   * @since 0.3
+   */
+  public boolean isOfTheMoment() {
+    return this == OVERLOADED || this == BACKLOG || this == NO_LEADER;
+  }
 }
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.InstanceId;
@@ -38,6 +39,7 @@
   private VirtualTimeScheduler time;
   private InstanceId leader;
   private InstanceId frozen;
+  private Answer writes = new ScopeMessage.Done();
 
   @BeforeEach
   void begin() {
@@ -63,8 +65,7 @@
       List<InstanceId> all = List.of(FIRST, SECOND);
       return Mono.just(new ScopeMessage.Leader(leader, all, all, to.equals(leader)));
     }
-    return Mono.just(
-        to.equals(leader) ? new ScopeMessage.Done() : new ScopeMessage.NotLeader(leader));
+    return Mono.just(to.equals(leader) ? writes : new ScopeMessage.NotLeader(leader));
   }
 
   private static PrimrosegaugeException error(ErrorKind kind) {
@@ -106,6 +107,29 @@
     assertThat(answer).isInstanceOf(ScopeMessage.Unknown.class);
   }
 
+  /**
+   * The first try is lost on its way and may arrive yet, so the refusal of the second is not all.
+   */
+  @ParameterizedTest
+  @EnumSource(
+      value = ScopeRefusal.class,
+      names = {"BACKLOG", "OVERLOADED", "NO_LEADER"})
+  void refusalAfterAnOpenTryIsNotPassedOn(ScopeRefusal reason) {
+    final ScopeClient client = clientThatKnowsTheLeader();
+    frozen = FIRST;
+    leader = SECOND;
+    writes = new ScopeMessage.Refused(reason, 5_000);
+    Answer answer = answerWithin(client, WRITE, PATIENCE.toMillis());
+    assertThat(answer).isInstanceOf(ScopeMessage.Unknown.class);
+  }
+
+  @Test
+  void refusalOfTheOnlyTryIsPassedOn() {
+    ScopeClient client = clientThatKnowsTheLeader();
+    writes = new ScopeMessage.Refused(ScopeRefusal.BACKLOG, 5_000);
+    assertThat(answerWithin(client, WRITE, 100)).isEqualTo(writes);
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void newLeaderAnswersInsteadOfTheFrozenOne(boolean isWrite) {
