One place for a queue's priority and for a task's weight; room is put together by a draft

RoomMaker.offer took seven arguments: what belongs to the room that is being made is a class of its own now (Draft). ScopeConfiguration.priorityOf replaces three copies, WorkMeter.weightOf two.

--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadFleet.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadFleet.java
@@ -27,10 +27,6 @@
   static final ServiceId POOL = new ServiceId("pool");
   static final int MAX_ATTEMPTS = 3;
 
-  /** What an accelerator counts beside a core. */
-  private static final int CORES_PER_ACCELERATOR = 8;
-
-  private static final double MILLI = 1_000.0;
   private static final int VISIBLE_MILLIS = 1_000;
   private static final int ROOM_SHARES = 4;
 
@@ -58,11 +54,6 @@
     return new ScopeConfiguration(new Revision(1), queues, CUSTOMERS, VISIBLE_MILLIS);
   }
 
-  /** Returns the cores that a task takes, with each accelerator counted as several. */
-  static double weightOf(Resources task) {
-    return task.milliCores() / MILLI + CORES_PER_ACCELERATOR * task.accelerators();
-  }
-
   /** Returns how many tasks of a step the empty fleet holds. */
   static int capacityFor(StepSpec step) {
     Resources all = FLEET.capacity();
--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadJob.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadJob.java
@@ -4,6 +4,7 @@
 import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.scope.StepSpec;
+import org.primrosegauge.standin.scope.WorkMeter;
 
 /**
  * A job of a replayed load.
@@ -38,7 +39,7 @@
     double sum = 0;
     for (int i = 0; i < steps.size(); i++) {
       StepSpec step = steps.get(i);
-      sum += step.count() * LoadFleet.weightOf(step.task()) * workMillis.get(i);
+      sum += step.count() * WorkMeter.weightOf(step.task()) * workMillis.get(i);
     }
     return sum / MILLIS_PER_SECOND;
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeAdmission.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeAdmission.java
@@ -89,7 +89,7 @@
       boolean isBefore =
           !entry.status().isFinal()
               && entry.job().pool().equals(job.pool())
-              && priorityOf(entry, ledger) <= queue.priority();
+              && ledger.configuration().priorityOf(entry.job().queue()) <= queue.priority();
       for (StepRecord step : isBefore ? stepsOf(entry) : List.<StepRecord>of()) {
         double millis = (double) waitingTasks(step) * step.spec().estimatedMillis();
         accelerators += millis * step.spec().task().accelerators();
@@ -111,12 +111,4 @@
         ? 0
         : step.tasks().stream().filter(task -> !task.isDone() && !task.isOpen()).count();
   }
-
-  private static int priorityOf(JobEntry entry, ScopeLedger ledger) {
-    return ledger
-        .configuration()
-        .queue(entry.job().queue())
-        .map(QueueSpec::priority)
-        .orElse(Integer.MAX_VALUE);
-  }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeConfiguration.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeConfiguration.java
@@ -62,6 +62,15 @@
     return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
   }
 
+  /**
+   * Returns the priority of a queue, 0 first; the lowest when the queue is gone.
+   *
+   * @since 0.3
+   */
+  public int priorityOf(QueueName name) {
+    return queue(name).map(QueueSpec::priority).orElse(Integer.MAX_VALUE);
+  }
+
   /**
    * Returns the customer that a key belongs to.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
@@ -73,31 +73,22 @@
 
   private Optional<Reservation> makeRoom(
       Demand demand, List<WorkerSession> usable, Guarantees guarantees, long nowMillis) {
-    Map<WorkerSession, Resources> freed = new HashMap<>();
-    Map<WorkerSession, Integer> counts = new HashMap<>();
-    Set<RunControl> victims = new LinkedHashSet<>();
-    List<WorkerSession> chosen = new ArrayList<>();
-    double cost = 0;
+    Draft draft = new Draft(demand, guarantees, nowMillis);
     for (int i = 0; i < demand.tasks().size(); i++) {
       Optional<Offer> best =
           usable.stream()
-              .map(worker -> offer(demand, worker, victims, freed, counts, guarantees, nowMillis))
+              .map(draft::offer)
               .flatMap(Optional::stream)
               .min(Comparator.comparingDouble(Offer::cost));
       if (best.isEmpty()) {
         return Optional.empty();
       }
-      take(best.get(), victims, freed, counts);
-      chosen.add(best.get().worker());
-      cost += best.get().cost();
+      draft.take(best.get());
     }
-    if (!guarantees.isWithin && cost > MOST_LOST * workOf(demand)) {
+    if (!guarantees.isWithin && draft.cost > MOST_LOST * workOf(demand)) {
       return Optional.empty();
     }
-    Set<RunId> ids = new LinkedHashSet<>();
-    victims.forEach(victim -> ids.add(victim.id));
-    long until = nowMillis + 2 * state.settings.stopTimeoutMillis() + state.settings.lookMillis();
-    return Optional.of(new Reservation(demand, chosen, ids, cost, until));
+    return Optional.of(draft.reservation());
   }
 
   /** Returns the work that a demand is estimated to do, in core-seconds. */
@@ -109,47 +100,78 @@
         / 1_000.0;
   }
 
-  /** Notes what an offer takes, for the offers to the tasks after it. */
-  private void take(
-      Offer offer,
-      Set<RunControl> victims,
-      Map<WorkerSession, Resources> freed,
-      Map<WorkerSession, Integer> counts) {
-    for (RunControl victim : offer.victims()) {
-      if (victims.add(victim)) {
-        freed.merge(victim.worker, victim.spec.task(), Resources::plus);
+  static Resources times(Resources one, int count) {
+    return new Resources(
+        one.milliCores() * count, one.memoryMib() * count, one.accelerators() * count);
+  }
+
+  /** Room that is being put together, task by task. */
+  private final class Draft {
+
+    private final Demand demand;
+    private final Guarantees guarantees;
+    private final long nowMillis;
+    private final Map<WorkerSession, Resources> freed = new HashMap<>();
+    private final Map<WorkerSession, Integer> counts = new HashMap<>();
+    private final Set<RunControl> victims = new LinkedHashSet<>();
+    private final List<WorkerSession> chosen = new ArrayList<>();
+    private double cost;
+
+    Draft(Demand demand, Guarantees guarantees, long nowMillis) {
+      this.demand = demand;
+      this.guarantees = guarantees;
+      this.nowMillis = nowMillis;
+    }
+
+    Reservation reservation() {
+      Set<RunId> ids = new LinkedHashSet<>();
+      victims.forEach(victim -> ids.add(victim.id));
+      long until = nowMillis + 2 * state.settings.stopTimeoutMillis() + state.settings.lookMillis();
+      return new Reservation(demand, chosen, ids, cost, until);
+    }
+
+    /** Notes what an offer takes, for the offers to the tasks after it. */
+    void take(Offer offer) {
+      for (RunControl victim : offer.victims()) {
+        if (victims.add(victim)) {
+          freed.merge(victim.worker, victim.spec.task(), Resources::plus);
+        }
       }
+      counts.merge(offer.worker(), 1, Integer::sum);
+      chosen.add(offer.worker());
+      cost += offer.cost();
     }
-    counts.merge(offer.worker(), 1, Integer::sum);
-  }
 
-  private Optional<Offer> offer(
-      Demand demand,
-      WorkerSession worker,
-      Set<RunControl> victims,
-      Map<WorkerSession, Resources> freed,
-      Map<WorkerSession, Integer> counts,
-      Guarantees guarantees,
-      long nowMillis) {
-    StepSpec spec = demand.spec();
-    int before = counts.getOrDefault(worker, 0);
-    boolean isAtLimit =
-        spec.maxPerWorker() > 0 && worker.tasksOf(demand.key()) + before >= spec.maxPerWorker();
-    if (isAtLimit) {
-      return Optional.empty();
+    /** Returns what room for one more task costs on a worker; empty where none can be made. */
+    Optional<Offer> offer(WorkerSession worker) {
+      StepSpec spec = demand.spec();
+      int before = counts.getOrDefault(worker, 0);
+      boolean isAtLimit =
+          spec.maxPerWorker() > 0 && worker.tasksOf(demand.key()) + before >= spec.maxPerWorker();
+      Resources need = times(spec.task(), before + 1);
+      Set<RunControl> extra = new LinkedHashSet<>();
+      double lost = isAtLimit ? Double.NaN : makeFit(worker, need, extra);
+      if (Double.isNaN(lost)) {
+        return Optional.empty();
+      }
+      boolean isFar = Placer.isFarFromData(spec, worker);
+      double spare = worker.free().accelerators() / 1_000.0;
+      return Optional.of(new Offer(worker, extra, lost + (isFar ? FAR_COST : 0) + spare));
     }
-    Resources need = times(spec.task(), before + 1);
-    Resources ended = freed.getOrDefault(worker, Resources.NONE);
-    Set<RunControl> extra = new LinkedHashSet<>();
-    double cost = 0;
-    if (!worker.fitsWithout(need, ended)) {
-      List<RunControl> candidates = candidates(worker, victims, guarantees, nowMillis);
-      for (RunControl candidate : candidates) {
+
+    /** Collects the runs that have to end; returns their cost, or NaN when that is not enough. */
+    private double makeFit(WorkerSession worker, Resources need, Set<RunControl> extra) {
+      Resources ended = freed.getOrDefault(worker, Resources.NONE);
+      double lost = 0;
+      if (worker.fitsWithout(need, ended)) {
+        return lost;
+      }
+      for (RunControl candidate : candidates(worker)) {
         if (extra.contains(candidate)) {
           continue;
         }
         Collection<RunControl> together = state.stoppedWith(candidate);
-        cost += guarantees.costOf(together, nowMillis);
+        lost += guarantees.costOf(together, nowMillis);
         for (RunControl run : together) {
           boolean isNew = !victims.contains(run) && extra.add(run);
           if (isNew && run.worker == worker) {
@@ -157,39 +179,29 @@
           }
         }
         if (worker.fitsWithout(need, ended)) {
-          break;
+          return lost;
         }
       }
-      if (!worker.fitsWithout(need, ended)) {
-        return Optional.empty();
-      }
+      return Double.NaN;
     }
-    boolean isFar = Placer.isFarFromData(spec, worker);
-    double spare = worker.free().accelerators() / 1_000.0;
-    return Optional.of(new Offer(worker, extra, cost + (isFar ? FAR_COST : 0) + spare));
-  }
 
-  private List<RunControl> candidates(
-      WorkerSession worker, Set<RunControl> victims, Guarantees guarantees, long nowMillis) {
-    Map<StepKey, Double> costs = new LinkedHashMap<>();
-    List<RunControl> found = new ArrayList<>();
-    for (RunControl run : worker.runs.values()) {
-      boolean mayStop = run.isRunning() && !run.stopWanted && !victims.contains(run);
-      if (mayStop && guarantees.mayStop(run)) {
-        found.add(run);
-        costs.computeIfAbsent(
-            run.id.task().stepKey(), step -> guarantees.costOf(state.stoppedWith(run), nowMillis));
+    private List<RunControl> candidates(WorkerSession worker) {
+      Map<StepKey, Double> costs = new LinkedHashMap<>();
+      List<RunControl> found = new ArrayList<>();
+      for (RunControl run : worker.runs.values()) {
+        boolean mayStop = run.isRunning() && !run.stopWanted && !victims.contains(run);
+        if (mayStop && guarantees.mayStop(run)) {
+          found.add(run);
+          costs.computeIfAbsent(
+              run.id.task().stepKey(),
+              step -> guarantees.costOf(state.stoppedWith(run), nowMillis));
+        }
       }
+      found.sort(
+          Comparator.comparingDouble(
+              run -> costs.get(run.id.task().stepKey()) / Math.max(1, run.weight())));
+      return found;
     }
-    found.sort(
-        Comparator.comparingDouble(
-            run -> costs.get(run.id.task().stepKey()) / Math.max(1, run.weight())));
-    return found;
-  }
-
-  static Resources times(Resources one, int count) {
-    return new Resources(
-        one.milliCores() * count, one.memoryMib() * count, one.accelerators() * count);
   }
 
   /** Which runs may be stopped for a demand, by priority and by the customers' guarantees. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.scope.JobEntry;
-import org.primrosegauge.core.scope.QueueSpec;
 import org.primrosegauge.core.scope.RunId;
 import org.primrosegauge.core.scope.ScopeAction;
 import org.primrosegauge.core.scope.ScopeCommand;
@@ -68,11 +67,7 @@
 
   /** Returns the priority of a job's queue; the lowest when the queue is gone. */
   int priorityOf(JobEntry job) {
-    return ledger
-        .configuration()
-        .queue(job.job().queue())
-        .map(QueueSpec::priority)
-        .orElse(Integer.MAX_VALUE);
+    return ledger.configuration().priorityOf(job.job().queue());
   }
 
   // Proposed placements
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
@@ -11,7 +11,6 @@
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.JobStatus;
-import org.primrosegauge.core.scope.QueueSpec;
 import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeLedger;
 import org.primrosegauge.node.metrics.NodeMetrics;
@@ -100,7 +99,7 @@
         continue;
       }
       long age = Math.max(0, wallMillis - entry.job().submittedMillis());
-      String priority = "priority-" + priorityOf(entry, ledger);
+      String priority = "priority-" + ledger.configuration().priorityOf(entry.job().queue());
       if (queuedBefore.contains(job) && entry.status() == JobStatus.RUNNING) {
         metrics.time("primrosegauge.job.wait", priority, entry.status(), age);
       }
@@ -121,14 +120,6 @@
     return List.of();
   }
 
-  private static int priorityOf(JobEntry entry, ScopeLedger ledger) {
-    return ledger
-        .configuration()
-        .queue(entry.job().queue())
-        .map(QueueSpec::priority)
-        .orElse(Integer.MAX_VALUE);
-  }
-
   // Queues
 
   /**
@@ -153,7 +144,9 @@
     Map<Integer, Waiting> found = new TreeMap<>();
     for (JobEntry entry : ledger.jobs()) {
       if (entry.status() == JobStatus.QUEUED) {
-        Waiting same = found.computeIfAbsent(priorityOf(entry, ledger), key -> new Waiting());
+        Waiting same =
+            found.computeIfAbsent(
+                ledger.configuration().priorityOf(entry.job().queue()), key -> new Waiting());
         same.jobs++;
         same.sinceMillis = Math.min(same.sinceMillis, entry.job().submittedMillis());
       }
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/WorkMeter.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/WorkMeter.java
@@ -19,8 +19,12 @@
   private double lostCoreSeconds;
   private int stops;
 
-  /** Returns the cores that a task takes, with each accelerator counted as several. */
-  static double weightOf(Resources task) {
+  /**
+   * Returns the cores that a task takes, with each accelerator counted as several.
+   *
+   * @since 0.3
+   */
+  public static double weightOf(Resources task) {
     return task.milliCores() / 1_000.0 + CORES_PER_ACCELERATOR * task.accelerators();
   }
 
