A draining worker that cannot be connected to has not ended

At 33.5 s a failure domain was cut off by a network that refuses connections; 0.9 s later the leader started a task elsewhere that ran on there to its end at 35.5 s.

Likely cause, by reading: a refused connection counted as the end of any worker that drains. A worker drains for many seconds; only its last word (DELETE) says that it ends.

Ruled out: a lease that was too short (the worker was reached 0.9 s before).

Change: WorkerSession.saidItEnds is set by the last word alone, and only then is a refused connection the end. A worker that ends without its last word being heard keeps its runs until their lease is over.

Test failing first: ScopeSchedulerTest.drainingWorkerBehindRefusingNetworkKeepsItsTask ("j1.0.0.0#2 begins beside j1.0.0.0#1" before).

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -278,6 +278,7 @@
     for (WorkerSession session : List.copyOf(state.sessions.values())) {
       if (session.info.key().target().equals(target)) {
         session.draining = true;
+        session.saidItEnds = true;
         session.drainEndMillis = present.millis();
         if (session.runs.isEmpty()) {
           orders.lifetimeOver(session);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -96,8 +96,8 @@
   }
 
   private void refused(WorkerSession worker, long nowMillis) {
-    if (worker.draining || worker.left) {
-      // It said that it would end, and nothing listens any more.
+    if (worker.saidItEnds || worker.left) {
+      // A refused connection alone may be a cut; together with its last word it is its end.
       orders.lifetimeOver(worker);
     }
     failed(worker, LookAnswer.Kind.REFUSED, nowMillis);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -26,6 +26,10 @@
   boolean draining;
   long drainEndMillis;
   boolean left;
+
+  /** Whether it has said that it ends now; a worker that only drains may run on for long. */
+  boolean saidItEnds;
+
   boolean confirmed;
   boolean lookInFlight;
   long lookSentMillis;
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -83,6 +83,7 @@
   private final Map<WorkerKey, Long> nextBeat = new HashMap<>();
   private final Map<Waiting, ScopeAction.Look> waiting = new LinkedHashMap<>();
   private final Set<String> cut = new HashSet<>();
+  private final Set<String> refusing = new HashSet<>();
   private final Map<JobId, ScopeJob> jobs = new LinkedHashMap<>();
   private final Map<JobId, List<Long>> works = new HashMap<>();
   private final Map<JobId, Long> finished = new LinkedHashMap<>();
@@ -203,6 +204,13 @@
     }
   }
 
+  /** Cuts a worker off for a while by a network that refuses connections to it. */
+  void refuse(String name, long forMillis) {
+    cut(name, forMillis);
+    refusing.add(name);
+    at(now + forMillis, () -> refusing.remove(name));
+  }
+
   /**
    * Lets all tasks of a worker stand still for a while; its heartbeats go on.
    *
@@ -230,11 +238,16 @@
   }
 
   void drain(String name) {
+    drain(name, 3_000);
+  }
+
+  /** Lets a worker say that it leaves, and end some time later without another word. */
+  void drain(String name, long staysMillis) {
     EmulatedWorker worker = workers.get(name);
     if (worker != null && !worker.drains) {
       worker.drains = true;
       nextBeat.put(worker.info.key(), now);
-      at(now + 3_000, () -> crash(name, 2_000));
+      at(now + staysMillis, () -> crash(name, 2_000));
     }
   }
 
@@ -421,7 +434,9 @@
   private void receiveLook(ScopeAction.Look order, int sentIn) {
     EmulatedWorker worker = reach(order.worker());
     if (worker == null) {
-      answerLook(order, sentIn, LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
+      boolean isRefused = refusing.contains(order.worker().target().value());
+      LookAnswer.Kind kind = isRefused ? LookAnswer.Kind.REFUSED : LookAnswer.Kind.NO_ANSWER;
+      answerLook(order, sentIn, LookAnswer.without(kind));
     } else if (!worker.info.key().equals(order.worker())) {
       answerLook(order, sentIn, LookAnswer.without(LookAnswer.Kind.OTHER_LIFETIME));
     } else if (!worker.admit(order, now)) {
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
@@ -140,4 +140,27 @@
     assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
   }
+
+  /** Found on lfda trouble-3, seed 781700168126: a cut that refuses looks like a worker's end. */
+  @Test
+  void drainingWorkerBehindRefusingNetworkKeepsItsTask() {
+    EmulatedScope world = new EmulatedScope(29, 2, true);
+    world.isCalm = false;
+    world.run(2_000);
+    world.submit("j1", 1, "first", List.of(step(1, WHOLE_WORKER).build()), 6_000);
+    world.run(1_000);
+    String busy =
+        world.workers.values().stream()
+            .filter(worker -> !worker.runs.isEmpty())
+            .map(worker -> worker.info.key().target().value())
+            .findFirst()
+            .orElseThrow();
+    world.drain(busy, 20_000);
+    world.run(500);
+    world.refuse(busy, 3_000);
+    world.run(10_000);
+    assertThat(world.checker.violations).isEmpty();
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 1);
+  }
 }
