Scheduler load: one line a second and metrics tell what deciding costs and how far behind its thread is

Logs and metrics could not tell a saturated thread from slow workers, slow links or changes of leader.

Added: ScopeScheduler.examined() counts the workers, runs, jobs and tasks that decisions look at; each event of the scheduler is timed by kind; the duty notes how long tasks wait in its ring and how long they take. The leader writes event=LOAD once a second; the same stands in primrosegauge.scope.{decisions,decision.micros,examined,thread.*}. No decision is changed.

Not measured yet: what it says.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
@@ -65,6 +65,16 @@
     return core.isInOffice();
   }
 
+  /**
+   * Returns how many workers, runs, jobs and tasks its decisions have looked at so far: what the
+   * time that they take follows.
+   *
+   * @since 0.3
+   */
+  public long examined() {
+    return core.examined();
+  }
+
   // Log
 
   /**
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
@@ -39,6 +39,7 @@
   /** Returns the steps that wait, in the order in which they are to be placed. */
   List<Demand> waiting(Present present) {
     List<Demand> found = new ArrayList<>();
+    state.examined(state.ledger.jobs().size());
     for (JobEntry entry : state.ledger.jobs()) {
       if (!entry.status().isFinal()) {
         collect(entry, present, found);
@@ -51,6 +52,7 @@
   /** Returns when the next occurrence of a waiting job is due; the largest value when none is. */
   long nextDueMillis(Present present) {
     long next = Long.MAX_VALUE;
+    state.examined(state.ledger.jobs().size());
     for (JobEntry entry : state.ledger.jobs()) {
       Recurrence recurrence = entry.job().recurrence();
       if (entry.status().isFinal() || recurrence.equals(Recurrence.NONE)) {
@@ -103,6 +105,7 @@
     if (isGangBusy) {
       return List.of();
     }
+    state.examined(step.tasks().size());
     return IntStream.range(0, step.tasks().size())
         .filter(index -> !step.task(index).isDone() && !step.task(index).isOpen())
         .filter(index -> !state.isProposed(key.task(index)))
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Headroom.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Headroom.java
@@ -65,6 +65,7 @@
     if (accelerators == 0) {
       return;
     }
+    state.examined(2 * workers.size());
     double share = Math.min(MOST_SHARE, expectedAccelerators(pool, present) / accelerators);
     workers.stream()
         .sorted(
@@ -96,6 +97,7 @@
   private double expectedAccelerators(ServiceId pool, Present present) {
     long since = present.wallMillis() - WINDOW_MILLIS;
     double asked = 0;
+    state.examined(state.ledger.jobs().size());
     for (JobEntry entry : state.ledger.jobs()) {
       ScopeJob job = entry.job();
       StepSpec first = job.steps().get(0);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Placer.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Placer.java
@@ -99,6 +99,7 @@
 
   /** Returns the workers that may take a task of the step at all, whether they have room or not. */
   List<WorkerSession> usable(Demand demand, long nowMillis) {
+    state.examined(state.sessions.size());
     return state.sessions.values().stream()
         .filter(worker -> isUsable(worker, demand, nowMillis))
         .toList();
@@ -106,6 +107,7 @@
 
   /** Returns the workers that may get something new. */
   List<WorkerSession> open(long nowMillis) {
+    state.examined(state.sessions.size());
     return state.sessions.values().stream().filter(worker -> isOpen(worker, nowMillis)).toList();
   }
 
@@ -137,6 +139,7 @@
     Map<WorkerSession, Resources> rooms = new HashMap<>();
     Map<WorkerSession, Integer> counts = new HashMap<>();
     List<WorkerSession> candidates = new ArrayList<>();
+    state.examined(usable.size());
     for (WorkerSession worker : usable) {
       if (worker.fits(demand.spec().task()) && !isKeptFrom(demand, worker, present)) {
         rooms.put(worker, worker.free());
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -92,7 +92,9 @@
     if (!workers.isEmpty()) {
       commit(demand, workers, placements, present);
     } else if (demand.spec().gang() && demand.lateness() <= WORTH_HOLDING) {
-      holds.hold(demand, placer.nearGroups(demand, now), now);
+      List<List<WorkerSession>> groups = placer.nearGroups(demand, now);
+      groups.forEach(group -> state.examined(group.size()));
+      holds.hold(demand, groups, now);
     }
   }
 
@@ -241,6 +243,7 @@
     for (Reservation reservation : state.reservations.values()) {
       next = Math.min(next, reservation.untilMillis());
     }
+    state.examined(state.sessions.size());
     for (WorkerSession worker : state.sessions.values()) {
       if (worker.asideUntilMillis > present.millis()) {
         next = Math.min(next, worker.asideUntilMillis);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
@@ -75,6 +75,7 @@
       Demand demand, List<WorkerSession> usable, Guarantees guarantees, long nowMillis) {
     Draft draft = new Draft(demand, guarantees, nowMillis);
     for (int i = 0; i < demand.tasks().size(); i++) {
+      state.examined(usable.size());
       Optional<Offer> best =
           usable.stream()
               .map(draft::offer)
@@ -188,6 +189,7 @@
     private List<RunControl> candidates(WorkerSession worker) {
       Map<StepKey, Double> costs = new LinkedHashMap<>();
       List<RunControl> found = new ArrayList<>();
+      state.examined(worker.runs.size());
       for (RunControl run : worker.runs.values()) {
         boolean mayStop = run.isRunning() && !run.stopWanted && !victims.contains(run);
         if (mayStop && guarantees.mayStop(run)) {
@@ -213,6 +215,7 @@
 
     Guarantees(Demand demand) {
       this.claimant = demand.job().job().customer();
+      state.examined(state.runs.size());
       for (RunControl run : state.runs.values()) {
         if (state.priorityOf(run.job) == ScopeState.URGENT && run.job.job().customer() != null) {
           used.merge(run.job.job().customer(), run.spec.task().accelerators(), Integer::sum);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunWatch.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunWatch.java
@@ -40,6 +40,7 @@
 
   /** Looks for runs that have not moved on for too long. */
   void check(Present present) {
+    state.examined(2 * state.runs.size());
     stopStrays(present);
     Set<StepKey> stalledGangs = new HashSet<>();
     for (RunControl run : List.copyOf(state.runs.values())) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -103,6 +103,11 @@
     state.add(run);
   }
 
+  /** Returns how many workers, runs, jobs and tasks decisions have looked at so far. */
+  public long examined() {
+    return state.examined();
+  }
+
   // Log
 
   /** Acts on a command that the ledger has applied. */
@@ -183,6 +188,7 @@
   }
 
   private void stopJob(JobId job, String why, Present present) {
+    state.examined(state.runs.size());
     for (RunControl run : List.copyOf(state.runs.values())) {
       boolean isGangDone = isDoneElsewhere(run);
       if (run.id.task().job().equals(job) && !isGangDone) {
@@ -198,6 +204,7 @@
   }
 
   private void dropOldSessions(Present present) {
+    state.examined(state.sessions.size());
     List<WorkerSession> old =
         state.sessions.values().stream()
             .filter(session -> state.ledger.worker(session.info.key()).isEmpty())
@@ -264,6 +271,7 @@
 
   /** A heartbeat of an earlier lifetime, or from an address that another worker has taken over. */
   private boolean isOutdated(WorkerInfo info) {
+    state.examined(state.sessions.size());
     return state.sessions.values().stream()
         .map(session -> session.info)
         .filter(known -> known.key().bornMillis() > info.key().bornMillis())
@@ -275,6 +283,7 @@
 
   /** Notes that a worker ends; runs still there are over once nothing listens or they lapse. */
   public void workerLeft(TargetId target, Present present) {
+    state.examined(state.sessions.size());
     for (WorkerSession session : List.copyOf(state.sessions.values())) {
       if (session.info.key().target().equals(target)) {
         session.draining = true;
@@ -311,6 +320,7 @@
 
   /** Acts on what is due. */
   public void tick(Present present) {
+    state.examined(state.sessions.size() + state.runs.size());
     for (WorkerSession session : List.copyOf(state.sessions.values())) {
       looks.lapseIfDue(session, present);
     }
@@ -330,6 +340,7 @@
       return List.of();
     }
     planner.run(present);
+    state.examined(state.sessions.size());
     for (WorkerSession session : state.sessions.values()) {
       looks.lookIfDue(session, present);
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -43,6 +43,7 @@
   private final Map<StepKey, Integer> proposedRuns = new HashMap<>();
   private final Set<TaskKey> proposedTasks = new HashSet<>();
   private List<ScopeAction> actions = new ArrayList<>();
+  private long examined;
   Term term = Term.NONE;
   boolean dirty;
 
@@ -70,6 +71,18 @@
     return ledger.configuration().priorityOf(job.job().queue());
   }
 
+  // Cost
+
+  /** Counts workers, runs, jobs or tasks that a decision has looked at. */
+  void examined(int count) {
+    examined += count;
+  }
+
+  /** Returns how many workers, runs, jobs and tasks decisions have looked at so far. */
+  long examined() {
+    return examined;
+  }
+
   // Proposed placements
 
   boolean isProposed(StepKey step) {
@@ -107,6 +120,7 @@
   }
 
   Collection<RunControl> runsOf(StepKey step) {
+    examined(runs.size());
     return runs.values().stream().filter(run -> run.id.task().stepKey().equals(step)).toList();
   }
 
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/Duty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/Duty.java
@@ -29,8 +29,11 @@
   private static final long SHORTEST_TICK_MILLIS = 5;
   private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
+  /** A task with the time at which it was handed over. */
+  private record Queued(Runnable task, long atMillis) {}
+
   private final String name;
-  private final MpscArrayQueue<Runnable> ring;
+  private final MpscArrayQueue<Queued> ring;
   private final long tickMillis;
   private final MonotonicClock clock;
   private final LongConsumer tick;
@@ -39,6 +42,9 @@
   private volatile boolean closed;
   private volatile boolean parked;
 
+  // Touched by the duty's thread only.
+  private final DutyLoad load = new DutyLoad();
+
   /**
    * Creates a duty that does not run yet.
    *
@@ -111,7 +117,7 @@
    * @since 0.1
    */
   public boolean offer(Runnable task) {
-    if (closed || !ring.offer(task)) {
+    if (closed || !ring.offer(new Queued(task, clock.nowMillis()))) {
       return false;
     }
     if (parked) {
@@ -154,6 +160,16 @@
     return Thread.currentThread() == thread;
   }
 
+  /**
+   * Returns what the duty did since the last call, and begins to count anew. To be called on the
+   * duty's thread.
+   *
+   * @since 0.3
+   */
+  public DutyLoad.Figures takeLoad() {
+    return load.take(ring.size());
+  }
+
   // Internals
 
   private PrimrosegaugeException fullRing() {
@@ -181,9 +197,11 @@
 
   private int drain() {
     int ran = 0;
-    Runnable task;
-    while (ran < MAX_TASKS_BETWEEN_TICKS && (task = ring.poll()) != null) {
-      guarded(task);
+    Queued next;
+    while (ran < MAX_TASKS_BETWEEN_TICKS && (next = ring.poll()) != null) {
+      long beganMillis = clock.nowMillis();
+      guarded(next.task());
+      load.ran(beganMillis - next.atMillis(), clock.nowMillis() - beganMillis);
       ran++;
     }
     return ran;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/metrics/NodeMetrics.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/metrics/NodeMetrics.java
@@ -81,7 +81,17 @@
    * @since 0.1
    */
   public void count(String name, String where, Enum<?> reason) {
-    registry.counter(name, "where", where, "reason", label(reason)).increment();
+    add(name, where, reason, 1);
+  }
+
+  /**
+   * Counts several events, or an amount, at once.
+   *
+   * @param amount what is added to the counter
+   * @since 0.3
+   */
+  public void add(String name, String where, Enum<?> reason, double amount) {
+    registry.counter(name, "where", where, "reason", label(reason)).increment(amount);
   }
 
   /**
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -29,6 +29,22 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(SchedulerRunner.class);
 
+  /** What an event is about. */
+  enum EventKind {
+    /** This replica begins to lead. */
+    OFFICE,
+    /** The log has applied a command. */
+    APPLIED,
+    /** The log has refused a command. */
+    NOT_APPLIED,
+    /** A worker has sent a heartbeat or its last word. */
+    HEARTBEAT,
+    /** A worker has answered an order, or has not. */
+    ANSWER,
+    /** Time has passed. */
+    TICK
+  }
+
   /** Something that happened, as a call of the scheduler. */
   @FunctionalInterface
   interface Event {
@@ -45,6 +61,7 @@
   private final WorkerOrders workers;
   private final ScopeEventLog events;
   private final ScopeMeters meters;
+  private final SchedulerLoad load;
 
   SchedulerRunner(
       ScopeScheduler scheduler,
@@ -59,6 +76,7 @@
     this.workers = ports.workers();
     this.events = ports.events();
     this.meters = ports.meters();
+    this.load = new SchedulerLoad(ports.meters());
   }
 
   // Office
@@ -74,7 +92,7 @@
         log.isLeader() && !scheduler.isInOffice() && log.isAuthoritative(clock.nowMillis());
     if (isDue) {
       events.office(true, log.term());
-      run((leader, present) -> leader.takeOffice(log.term(), present));
+      run(EventKind.OFFICE, (leader, present) -> leader.takeOffice(log.term(), present));
     }
   }
 
@@ -89,9 +107,18 @@
   // Events
 
   /** Hands an event in and carries out what follows. */
-  void run(Event event) {
+  void run(EventKind kind, Event event) {
     Present present = present();
-    perform(event.handTo(scheduler, present), present);
+    final long examinedBefore = scheduler.examined();
+    final long beganNanos = System.nanoTime();
+    List<ScopeAction> actions = event.handTo(scheduler, present);
+    load.decided(kind, System.nanoTime() - beganNanos, scheduler.examined() - examinedBefore);
+    perform(actions, present);
+  }
+
+  /** Writes once a second what deciding has cost, while this replica decides. */
+  void reportLoad(long nowMillis) {
+    load.reportIfDue(nowMillis, scheduler.isInOffice(), log.duty()::takeLoad);
   }
 
   private Present present() {
@@ -123,7 +150,9 @@
                 log.duty()
                     .offer(
                         () -> {
-                          run((leader, present) -> leader.proposalFailed(command, present));
+                          run(
+                              EventKind.NOT_APPLIED,
+                              (leader, present) -> leader.proposalFailed(command, present));
                         }));
   }
 
@@ -172,7 +201,7 @@
         log.duty()
             .offer(
                 () -> {
-                  run(event);
+                  run(EventKind.ANSWER, event);
                 });
     if (!taken) {
       LOG.error("an answer of a worker was dropped because the ring of the log is full");
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -32,6 +32,7 @@
 import org.primrosegauge.node.log.LogStorage;
 import org.primrosegauge.node.log.ReplicatedLog;
 import org.primrosegauge.node.log.SealedCodec;
+import org.primrosegauge.node.scope.SchedulerRunner.EventKind;
 import org.primrosegauge.node.scope.ScopeMessage.Answer;
 import org.primrosegauge.node.scope.ScopeMessage.Question;
 import org.primrosegauge.node.transport.PeerTransport;
@@ -231,11 +232,14 @@
       events.operatorOrder("domain switch", order.domain() + " out=" + order.isOut());
       return propose(new ScopeCommand.SwitchDomain(order.domain(), order.isOut()));
     } else if (question instanceof ScopeMessage.Heartbeat heartbeat) {
-      scheduler.run((leader, present) -> leader.workerReported(heartbeat.status(), present));
+      scheduler.run(
+          EventKind.HEARTBEAT,
+          (leader, present) -> leader.workerReported(heartbeat.status(), present));
       return Mono.just(new ScopeMessage.Done());
     }
     ScopeMessage.WorkerLeft left = (ScopeMessage.WorkerLeft) question;
-    scheduler.run((leader, present) -> leader.workerLeft(left.target(), present));
+    scheduler.run(
+        EventKind.HEARTBEAT, (leader, present) -> leader.workerLeft(left.target(), present));
     return Mono.just(new ScopeMessage.Done());
   }
 
@@ -348,7 +352,7 @@
         events.applied(command);
         meters.after(ledger, wallClock.nowMillis());
       }
-      scheduler.run((leader, present) -> leader.applied(command, present));
+      scheduler.run(EventKind.APPLIED, (leader, present) -> leader.applied(command, present));
       return result;
     }
 
@@ -377,7 +381,8 @@
     @Override
     public void tick(long nowMillis) {
       scheduler.takeOfficeIfDue();
-      scheduler.run(ScopeScheduler::tick);
+      scheduler.run(EventKind.TICK, ScopeScheduler::tick);
+      scheduler.reportLoad(nowMillis);
       meters.tick(ledger, scheduler.isInOffice(), nowMillis, wallClock.nowMillis());
     }
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
@@ -13,6 +13,7 @@
 import org.primrosegauge.core.scope.JobStatus;
 import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.node.duty.DutyLoad;
 import org.primrosegauge.node.metrics.NodeMetrics;
 
 /**
@@ -26,6 +27,7 @@
 
   private static final long GAUGES_MILLIS = 1_000;
   private static final double MILLIS_PER_SECOND = 1_000;
+  private static final long NANOS_PER_MICRO = 1_000;
 
   /** What waits in the queues of one priority. */
   private static final class Waiting {
@@ -39,6 +41,7 @@
   private final Set<JobId> queuedBefore = new HashSet<>();
   private final Map<JobId, JobStatus> openBefore = new HashMap<>();
   private long nextGaugesMillis;
+  private volatile DutyLoad.Figures threadLoad = new DutyLoad.Figures(0, 0, 0, 0, 0);
 
   /**
    * Creates meters in a registry.
@@ -51,6 +54,10 @@
         MultiGauge.builder("primrosegauge.scope.waiting.jobs")
             .description("Accepted jobs of which nothing has started, by priority")
             .register(metrics.registry());
+    metrics.gauge("primrosegauge.scope.thread.waiting", () -> threadLoad.waiting());
+    metrics.gauge(
+        "primrosegauge.scope.thread.longest.wait.millis", () -> threadLoad.longestWaitMillis());
+    metrics.gauge("primrosegauge.scope.thread.busy.millis", () -> threadLoad.busyMillis());
     this.longestWait =
         MultiGauge.builder("primrosegauge.scope.waiting.longest.seconds")
             .description("Age of the oldest such job, by priority")
@@ -68,6 +75,28 @@
     metrics.time("primrosegauge.worker.call", call, answer, millis);
   }
 
+  /**
+   * Notes what events of one kind have cost the scheduler.
+   *
+   * @param nanos time that they took, in nanoseconds
+   * @param examined workers, runs, jobs and tasks that were looked at
+   * @since 0.3
+   */
+  public void decided(Enum<?> kind, long events, long nanos, long examined) {
+    metrics.add("primrosegauge.scope.decisions", "log", kind, events);
+    metrics.add("primrosegauge.scope.decision.micros", "log", kind, nanos / NANOS_PER_MICRO);
+    metrics.add("primrosegauge.scope.examined", "log", kind, examined);
+  }
+
+  /**
+   * Notes the load of the thread that keeps the log and decides.
+   *
+   * @since 0.3
+   */
+  public void threadLoad(DutyLoad.Figures load) {
+    threadLoad = load;
+  }
+
   /**
    * Looks at the jobs that a command is about, before it is applied.
    *
