--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/DutyLoad.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/DutyLoad.java
@@ -35,7 +35,8 @@
   }
 
   Figures take(int waiting) {
-    final Figures taken = new Figures(tasks, waiting, longestWaitMillis, longestTaskMillis, busyMillis);
+    final Figures taken =
+        new Figures(tasks, waiting, longestWaitMillis, longestTaskMillis, busyMillis);
     tasks = 0;
     longestWaitMillis = 0;
     longestTaskMillis = 0;
