Scheduler: planning once for a batch of events, and for at most half of its thread

Cause: each event, also each heartbeat and each answer of a worker, was followed by a pass of the planner and by a walk over all workers for due looks, so that a burst cost events x passes.

Ruled out: skipping events or passes by a timer alone. An idle leader would then add its period to each urgent start.

Change: the methods of ScopeScheduler that take an event only note it and return what follows from it directly. plan() and look() are calls of their own; the runner makes one of them between two batches of tasks. A batch of a duty is bounded in time (20 ms) besides its number of tasks, so that the tick no longer waits for 256 tasks.

Evidence: tests in virtual time.

Why it works: the planner reads only state, so any number of events may come before it; its cost now follows time and not the number of events.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
@@ -10,6 +10,10 @@
  * Scheduler of a scope, as the leader of the replicated log runs it. Each method takes one event
  * and the present, and returns the actions to carry out, in order.
  *
+ * <p>Events are noted at once; what they let begin follows from {@link #plan} and {@link #look},
+ * which the caller calls once for as many events as it likes. Both must be called soon after each
+ * event: until then nothing new starts, and no worker is looked at.
+ *
  * <p>It decides from a {@link ScopeLedger} that holds everything committed, and starts a run only
  * after the log has recorded where: a later leader thus knows each run that may be going on. Orders
  * carry the term of the log as fencing token. The caller carries out orders only while the lease of
@@ -44,7 +48,7 @@
    */
   public List<ScopeAction> takeOffice(Term term, Present present) {
     core.takeOffice(term, present);
-    return core.finish(present);
+    return core.takeActions();
   }
 
   /**
@@ -87,7 +91,7 @@
       return List.of();
     }
     core.applied(command, present);
-    return core.finish(present);
+    return core.takeActions();
   }
 
   /**
@@ -100,7 +104,7 @@
       return List.of();
     }
     core.proposalFailed(command);
-    return core.finish(present);
+    return core.takeActions();
   }
 
   // Workers
@@ -112,7 +116,7 @@
    */
   public List<ScopeAction> workerReported(WorkerStatus status, Present present) {
     core.workerReported(status, present);
-    return core.finish(present);
+    return core.takeActions();
   }
 
   /**
@@ -122,7 +126,7 @@
    */
   public List<ScopeAction> workerLeft(TargetId target, Present present) {
     core.workerLeft(target, present);
-    return core.finish(present);
+    return core.takeActions();
   }
 
   /**
@@ -134,7 +138,7 @@
   public List<ScopeAction> startAnswered(
       RunId run, StartAnswer answer, long clockMillis, Present present) {
     core.startAnswered(run, answer, clockMillis, present);
-    return core.finish(present);
+    return core.takeActions();
   }
 
   /**
@@ -144,7 +148,7 @@
    */
   public List<ScopeAction> stopAnswered(RunId run, StopAnswer answer, Present present) {
     core.stopAnswered(run, answer, present);
-    return core.finish(present);
+    return core.takeActions();
   }
 
   /**
@@ -154,7 +158,7 @@
    */
   public List<ScopeAction> lookAnswered(WorkerKey worker, LookAnswer answer, Present present) {
     core.lookAnswered(worker, answer, present);
-    return core.finish(present);
+    return core.takeActions();
   }
 
   // Time
@@ -169,6 +173,36 @@
       return List.of();
     }
     core.tick(present);
-    return core.finish(present);
+    return core.takeActions();
+  }
+
+  // Planning
+
+  /**
+   * Gives waiting steps their workers, if any event since the last call may let one start, and
+   * looks at the workers for which that is due.
+   *
+   * @since 0.3
+   */
+  public List<ScopeAction> plan(Present present) {
+    if (!core.isInOffice()) {
+      return List.of();
+    }
+    core.plan(present);
+    return core.takeActions();
+  }
+
+  /**
+   * Looks at the workers for which that is due, which renews their leases. Costs little beside
+   * {@link #plan}, so that leases need not wait where planning has to.
+   *
+   * @since 0.3
+   */
+  public List<ScopeAction> look(Present present) {
+    if (!core.isInOffice()) {
+      return List.of();
+    }
+    core.look(present);
+    return core.takeActions();
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -28,7 +28,7 @@
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
 
 /**
- * Applies events to the state of a scope in one term, then plans what can start.
+ * Applies events to the state of a scope in one term, and plans what can start after them.
  *
  * <p>Not thread-safe; owned by one scheduler.
  */
@@ -333,17 +333,25 @@
     }
   }
 
-  /** Ends the handling of an event: plans, looks where that is due, hands out the actions. */
-  public List<ScopeAction> finish(Present present) {
-    if (!inOffice) {
-      state.takeActions();
-      return List.of();
-    }
+  // Planning
+
+  /** Starts what can start, and looks where that is due. */
+  public void plan(Present present) {
     planner.run(present);
+    look(present);
+  }
+
+  /** Looks at the workers for which that is due. */
+  public void look(Present present) {
     state.examined(state.sessions.size());
     for (WorkerSession session : state.sessions.values()) {
       looks.lookIfDue(session, present);
     }
-    return state.takeActions();
+  }
+
+  /** Hands out what the events and the planning since the last call ask for. */
+  public List<ScopeAction> takeActions() {
+    List<ScopeAction> actions = state.takeActions();
+    return inOffice ? actions : List.of();
   }
 }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/Duty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/Duty.java
@@ -14,7 +14,8 @@
 
 /**
  * One thread with one duty. It takes tasks from a bounded ring, in the order in which they were
- * offered, and calls a tick function at a fixed interval between them.
+ * offered, and calls a tick function at a fixed interval between them. What a batch of tasks makes
+ * necessary only once is done by its {@link Settling} between two batches.
  *
  * <p>State that only the duty's tasks and tick touch needs no locks. {@link #offer} and {@link
  * #ask} may be called from any thread. Life-cycle: {@link #start} once, then {@link #close} once;
@@ -25,25 +26,59 @@
 public final class Duty implements AutoCloseable {
 
   private static final Logger LOG = LoggerFactory.getLogger(Duty.class);
-  private static final int MAX_TASKS_BETWEEN_TICKS = 256;
+  private static final int MAX_TASKS_IN_BATCH = 256;
+
+  /** Longest time between two looks at what else is due, unless one task alone takes longer. */
+  private static final long LONGEST_BATCH_MILLIS = 20;
+
   private static final long SHORTEST_TICK_MILLIS = 5;
   private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
   /** A task with the time at which it was handed over. */
   private record Queued(Runnable task, long atMillis) {}
 
+  /**
+   * Work that follows from any number of tasks and is done once for all of them. Both methods are
+   * called on the duty's thread.
+   *
+   * @since 0.3
+   */
+  public interface Settling {
+
+    /** Has nothing to do, ever. */
+    Settling NOTHING =
+        new Settling() {
+          @Override
+          public void settle(long nowMillis) {}
+
+          @Override
+          public long dueMillis() {
+            return Long.MAX_VALUE;
+          }
+        };
+
+    /** Does what is due; called between two batches of tasks, not before {@link #dueMillis}. */
+    void settle(long nowMillis);
+
+    /** Returns when something is due, in the clock's milliseconds; long past for at once. */
+    long dueMillis();
+  }
+
   private final String name;
   private final MpscArrayQueue<Queued> ring;
   private final long tickMillis;
   private final MonotonicClock clock;
   private final LongConsumer tick;
   private final LongSupplier wakeAt;
+  private final Settling settling;
   private final Thread thread;
   private volatile boolean closed;
   private volatile boolean parked;
 
   // Touched by the duty's thread only.
   private final DutyLoad load = new DutyLoad();
+  private long nextTick;
+  private long earliestTick;
 
   /**
    * Creates a duty that does not run yet.
@@ -73,12 +108,29 @@
       MonotonicClock clock,
       LongConsumer tick,
       LongSupplier wakeAt) {
+    this(name, capacity, tickMillis, clock, tick, wakeAt, Settling.NOTHING);
+  }
+
+  /**
+   * Creates a duty that settles what its tasks ask for between batches of them.
+   *
+   * @since 0.3
+   */
+  public Duty(
+      String name,
+      int capacity,
+      long tickMillis,
+      MonotonicClock clock,
+      LongConsumer tick,
+      LongSupplier wakeAt,
+      Settling settling) {
     this.name = name;
     this.ring = new MpscArrayQueue<>(capacity);
     this.tickMillis = tickMillis;
     this.clock = clock;
     this.tick = tick;
     this.wakeAt = wakeAt;
+    this.settling = settling;
     this.thread = new Thread(this::run, name);
     this.thread.setDaemon(true);
   }
@@ -178,30 +230,54 @@
   }
 
   private void run() {
-    long nextTick = clock.nowMillis();
-    long earliestTick = nextTick;
+    begin();
     while (!closed) {
-      int ran = drain();
-      long now = clock.nowMillis();
-      // The pause bounds the rate of ticks of a duty that always has something due.
-      long due = Math.max(earliestTick, Math.min(nextTick, wakeAt.getAsLong()));
-      if (now >= due) {
-        guarded(() -> tick.accept(now));
-        nextTick = now + tickMillis;
-        earliestTick = now + SHORTEST_TICK_MILLIS;
-      } else if (ran == 0) {
-        parkFor(due - now);
+      long pause = turn();
+      if (pause > 0) {
+        parkFor(pause);
       }
     }
   }
 
+  /** Begins the interval of ticks. */
+  void begin() {
+    nextTick = clock.nowMillis();
+    earliestTick = nextTick;
+  }
+
+  /**
+   * Runs one batch of tasks, then settles and ticks if that is due.
+   *
+   * @return time for which there is nothing to do, in milliseconds
+   */
+  long turn() {
+    boolean isBusy = drain() > 0;
+    long now = clock.nowMillis();
+    if (now >= settling.dueMillis()) {
+      guarded(() -> settling.settle(now));
+      isBusy = true;
+    }
+    // The pause bounds the rate of ticks of a duty that always has something due.
+    long due = Math.max(earliestTick, Math.min(nextTick, wakeAt.getAsLong()));
+    if (now >= due) {
+      guarded(() -> tick.accept(now));
+      nextTick = now + tickMillis;
+      earliestTick = now + SHORTEST_TICK_MILLIS;
+      isBusy = true;
+    }
+    return isBusy ? 0 : Math.min(due, settling.dueMillis()) - now;
+  }
+
   private int drain() {
     int ran = 0;
+    long endMillis = clock.nowMillis() + LONGEST_BATCH_MILLIS;
+    long beganMillis = clock.nowMillis();
     Queued next;
-    while (ran < MAX_TASKS_BETWEEN_TICKS && (next = ring.poll()) != null) {
-      long beganMillis = clock.nowMillis();
+    while (ran < MAX_TASKS_IN_BATCH && beganMillis < endMillis && (next = ring.poll()) != null) {
       guarded(next.task());
-      load.ran(beganMillis - next.atMillis(), clock.nowMillis() - beganMillis);
+      long endedMillis = clock.nowMillis();
+      load.ran(beganMillis - next.atMillis(), endedMillis - beganMillis);
+      beganMillis = endedMillis;
       ran++;
     }
     return ran;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/AppliedState.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/AppliedState.java
@@ -60,4 +60,21 @@
    * @since 0.2
    */
   default void tick(long nowMillis) {}
+
+  /**
+   * Does once what any number of entries and tasks since the last call ask for; called between
+   * batches of them, not before {@link #settleDueMillis}.
+   *
+   * @since 0.3
+   */
+  default void settle(long nowMillis) {}
+
+  /**
+   * Returns when {@link #settle} is due, in the clock's milliseconds.
+   *
+   * @since 0.3
+   */
+  default long settleDueMillis() {
+    return Long.MAX_VALUE;
+  }
 }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -99,7 +99,15 @@
       throws StorageException {
     this.ports = ports;
     this.state = state;
-    this.duty = new Duty("log", ringCapacity, TICK_MILLIS, ports.clock(), this::tick);
+    this.duty =
+        new Duty(
+            "log",
+            ringCapacity,
+            TICK_MILLIS,
+            ports.clock(),
+            this::tick,
+            () -> Long.MAX_VALUE,
+            new StateSettling());
     this.journal =
         new Duty("journal", ringCapacity, JOURNAL_TICK_MILLIS, ports.clock(), now -> syncBatch());
     RecoveredLog recovered = ports.storage().recover();
@@ -261,6 +269,20 @@
     state.tick(nowMillis);
   }
 
+  /** What the state does once for a batch of tasks. */
+  private final class StateSettling implements Duty.Settling {
+
+    @Override
+    public void settle(long nowMillis) {
+      state.settle(nowMillis);
+    }
+
+    @Override
+    public long dueMillis() {
+      return state.settleDueMillis();
+    }
+  }
+
   private void proposeNow(byte[] command, MonoSink<R> sink) {
     proposing.add(sink);
     perform(replica.propose(command, now()));
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -19,7 +19,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Hands events to the scheduler with the present, and carries out what it decides.
+ * Hands events to the scheduler with the present, and carries out what it decides. Planning follows
+ * once for a batch of events, as often as {@link PlanningPace} allows.
  *
  * <p>Orders leave only if this replica led under a valid lease at the present that the decision was
  * made with: a later leader cannot have taken office before that. Used on the log thread; answers
@@ -42,7 +43,11 @@
     /** A worker has answered an order, or has not. */
     ANSWER,
     /** Time has passed. */
-    TICK
+    TICK,
+    /** Waiting steps are given their workers, once for the events before. */
+    PLAN,
+    /** Workers are looked at while planning pauses. */
+    LOOK
   }
 
   /** Something that happened, as a call of the scheduler. */
@@ -62,6 +67,7 @@
   private final ScopeEventLog events;
   private final ScopeMeters meters;
   private final SchedulerLoad load;
+  private final PlanningPace pace = new PlanningPace();
 
   SchedulerRunner(
       ScopeScheduler scheduler,
@@ -100,20 +106,46 @@
   void leaveOfficeIfDue() {
     if (scheduler.isInOffice() && !log.isLeader()) {
       scheduler.leaveOffice();
+      pace.clear();
       events.office(false, log.term());
     }
   }
 
   // Events
 
-  /** Hands an event in and carries out what follows. */
+  /** Hands an event in and carries out what follows; planning comes later. */
   void run(EventKind kind, Event event) {
+    decide(kind, event);
+    if (scheduler.isInOffice()) {
+      pace.changed();
+    }
+  }
+
+  /** Plans for the events since the last pass, or only looks at workers while planning pauses. */
+  void settle(long nowMillis) {
+    if (pace.mayPlan(nowMillis)) {
+      long nanos = decide(EventKind.PLAN, ScopeScheduler::plan);
+      pace.planned(clock.nowMillis(), nanos);
+    } else {
+      decide(EventKind.LOOK, ScopeScheduler::look);
+    }
+  }
+
+  /** Returns when {@link #settle} is due, in the clock's milliseconds. */
+  long settleDueMillis() {
+    return pace.dueMillis();
+  }
+
+  /** Returns how long the decision took, in nanoseconds. */
+  private long decide(EventKind kind, Event event) {
     Present present = present();
     final long examinedBefore = scheduler.examined();
     final long beganNanos = System.nanoTime();
     List<ScopeAction> actions = event.handTo(scheduler, present);
-    load.decided(kind, System.nanoTime() - beganNanos, scheduler.examined() - examinedBefore);
+    final long nanos = System.nanoTime() - beganNanos;
+    load.decided(kind, nanos, scheduler.examined() - examinedBefore);
     perform(actions, present);
+    return nanos;
   }
 
   /** Writes once a second what deciding has cost, while this replica decides. */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -385,6 +385,16 @@
       scheduler.reportLoad(nowMillis);
       meters.tick(ledger, scheduler.isInOffice(), nowMillis, wallClock.nowMillis());
     }
+
+    @Override
+    public void settle(long nowMillis) {
+      scheduler.settle(nowMillis);
+    }
+
+    @Override
+    public long settleDueMillis() {
+      return scheduler.settleDueMillis();
+    }
   }
 
   /** Tells whether an error says that nothing was done. */
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -98,6 +98,11 @@
   long now = 10_000;
   private long proposed;
   double lostAnswers;
+
+  /** Shortest time between two passes of the planner; 0 plans after each event. */
+  long planPauseMillis;
+
+  private long nextPlanMillis;
   double lateOrders;
   boolean isCalm = true;
 
@@ -287,7 +292,18 @@
     }
   }
 
+  /** Carries out what an event asks for, then what planning finds, unless a pass was just made. */
   private void perform(List<ScopeAction> actions) {
+    carryOut(actions);
+    if (now >= nextPlanMillis) {
+      nextPlanMillis = now + planPauseMillis;
+      carryOut(scheduler.plan(present()));
+    } else {
+      carryOut(scheduler.look(present()));
+    }
+  }
+
+  private void carryOut(List<ScopeAction> actions) {
     for (ScopeAction action : actions) {
       trace("action", action);
       if (action instanceof ScopeAction.Propose propose) {
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
@@ -35,6 +35,44 @@
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 8);
   }
 
+  /** Issue 16: planning once for many events must keep the promises of planning after each. */
+  @ParameterizedTest
+  @ValueSource(longs = {50, 250})
+  void plannerThatPausesBetweenPassesLosesNothing(long pauseMillis) {
+    EmulatedScope world = new EmulatedScope(31, 6, true);
+    world.planPauseMillis = pauseMillis;
+    world.isCalm = false;
+    world.run(2_000);
+    for (int i = 0; i < 12; i++) {
+      StepSpec gang = step(4, ONE).gang(true).build();
+      StepSpec wide = step(6, ONE).checkpoints(true).dependsOn(List.of(0)).build();
+      world.submit("j" + i, i % 3, i % 2 == 0 ? "first" : "second", List.of(gang, wide), 1_500);
+      world.run(200);
+    }
+    world.crash("w1", 1_000);
+    world.cut("w2", 3_000);
+    world.run(1_000);
+    world.changeLeader();
+    world.run(40_000);
+    assertThat(world.checker.violations).isEmpty();
+    for (int i = 0; i < 12; i++) {
+      assertThat(world.statusOf("j" + i)).isEqualTo(JobStatus.COMPLETED);
+    }
+  }
+
+  /** Issue 16: leases must be renewed while planning pauses. */
+  @Test
+  void leasesAreRenewedWhilePlanningPauses() {
+    EmulatedScope world = new EmulatedScope(32, 4, true);
+    world.run(2_000);
+    world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 25_000);
+    world.run(1_000);
+    world.planPauseMillis = 60_000;
+    world.run(27_000);
+    assertThat(world.checker.violations).isEmpty();
+    assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
+  }
+
   @Test
   void gangWaitsUntilAllFit() {
     EmulatedScope world = new EmulatedScope(2, 4, true);
