Ledger: calls and commands cost what they touch, not all jobs or workers

Seen: on a site of 246 workers each submission walked all jobs (to forget ended ones), each question for a queue's length walked all jobs, each new lifetime walked all workers, and the meters walked all jobs each second; all of it on the one thread that also keeps the log's lease and answers heartbeats. Names of queues and keys of customers were searched in lists.

Change: JobTable keeps open jobs in the order of their acceptance, what waits in each queue, and ended jobs in the order of their end, by the ledger's own changes; WorkerIndex finds lifetimes by target and by address; the lists of a configuration find by key. restore() fills all of them by the same additions.

Why it works: a job enters the queue of ended ones once, when it has ended and none of its runs is open; after its end nothing is placed any more, so its key there never changes.

Tests: ScopeLedgerIndexTest compares each index with the walk that it replaces over 150 random courses of 250 commands, restored in between. No figures of the cost are claimed here.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeConfiguration.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeConfiguration.java
@@ -21,10 +21,10 @@
   public static final ScopeConfiguration NONE =
       new ScopeConfiguration(Revision.NONE, List.of(), List.of(), 0);
 
-  /** Copies the lists. */
+  /** Copies the lists into ones that are searched by key: each call and each decision asks. */
   public ScopeConfiguration {
-    queues = List.copyOf(queues);
-    customers = List.copyOf(customers);
+    queues = new QueueList(queues);
+    customers = new CustomerList(customers);
   }
 
   /**
@@ -59,7 +59,7 @@
    * @since 0.2
    */
   public Optional<QueueSpec> queue(QueueName name) {
-    return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
+    return ((QueueList) queues).find(name);
   }
 
   /**
@@ -77,10 +77,7 @@
    * @since 0.2
    */
   public Optional<CustomerId> customerOf(String key) {
-    return customers.stream()
-        .filter(customer -> customer.keys().contains(key))
-        .map(CustomerSpec::id)
-        .findFirst();
+    return ((CustomerList) customers).findByKey(key).map(CustomerSpec::id);
   }
 
   /**
@@ -89,10 +86,9 @@
    * @since 0.2
    */
   public int guaranteedTo(CustomerId customer) {
-    return customers.stream()
-        .filter(known -> known.id().equals(customer))
-        .mapToInt(CustomerSpec::guaranteedAccelerators)
-        .findFirst()
+    return ((CustomerList) customers)
+        .find(customer)
+        .map(CustomerSpec::guaranteedAccelerators)
         .orElse(0);
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -7,10 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.scope.impl.WorkerIndex;
 
 /**
  * Replicated state of a scope: its configuration, domains that are out, workers, jobs, and for each
@@ -23,8 +25,9 @@
 public final class ScopeLedger {
 
   private final long retentionMillis;
-  private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
+  private final JobTable jobs = new JobTable();
   private final Map<WorkerKey, WorkerRecord> workers = new LinkedHashMap<>();
+  private final WorkerIndex workerIndex = new WorkerIndex();
   private final Set<FailureDomainId> domainsOut = new TreeSet<>();
   private ScopeConfiguration configuration = ScopeConfiguration.NONE;
   private String content = "";
@@ -74,7 +77,16 @@
    * @since 0.2
    */
   public Collection<JobEntry> jobs() {
-    return jobs.values();
+    return jobs.all();
+  }
+
+  /**
+   * Returns the jobs that have not ended, in the order in which they were accepted.
+   *
+   * @since 0.3
+   */
+  public Collection<JobEntry> openJobs() {
+    return jobs.open();
   }
 
   /**
@@ -130,9 +142,26 @@
    * @since 0.2
    */
   public long pending(QueueName queue) {
-    return jobs.values().stream()
-        .filter(entry -> entry.status() == JobStatus.QUEUED && entry.job().queue().equals(queue))
-        .count();
+    return jobs.waiting(queue);
+  }
+
+  /**
+   * Returns when the oldest such job of a queue was submitted, in milliseconds since 1970; empty
+   * when there is none.
+   *
+   * @since 0.3
+   */
+  public OptionalLong pendingSince(QueueName queue) {
+    return jobs.waitingSince(queue);
+  }
+
+  /**
+   * Returns the queues with such jobs, in no order.
+   *
+   * @since 0.3
+   */
+  public Set<QueueName> pendingQueues() {
+    return jobs.waitingQueues();
   }
 
   // Main API
@@ -170,7 +199,7 @@
    */
   public ScopeSnapshot snapshot() {
     return ScopeSnapshot.of(
-        configuration, content, List.copyOf(domainsOut), workers.values(), jobs.values());
+        configuration, content, List.copyOf(domainsOut), workers.values(), jobs.all());
   }
 
   /**
@@ -181,6 +210,7 @@
   public void restore(ScopeSnapshot snapshot) {
     jobs.clear();
     workers.clear();
+    workerIndex.clear();
     domainsOut.clear();
     configuration = snapshot.configuration();
     content = snapshot.content();
@@ -189,10 +219,10 @@
       WorkerRecord record = new WorkerRecord(worker.info(), worker.lastEnd());
       record.openRuns().addAll(worker.openRuns());
       workers.put(worker.info().key(), record);
+      workerIndex.add(worker.info());
     }
     for (ScopeSnapshot.JobState state : snapshot.jobs()) {
-      JobEntry entry = state.toEntry();
-      jobs.put(entry.job().id(), entry);
+      jobs.add(state.toEntry());
     }
   }
 
@@ -206,14 +236,9 @@
   }
 
   private void submit(ScopeJob job) {
-    jobs.values()
-        .removeIf(
-            old ->
-                old.status().isFinal()
-                    && old.openRuns() == 0
-                    && old.endedMillis() + retentionMillis < job.submittedMillis());
-    if (!jobs.containsKey(job.id())) {
-      jobs.put(job.id(), new JobEntry(job));
+    jobs.forgetEndedBefore(job.submittedMillis() - retentionMillis);
+    if (jobs.get(job.id()) == null) {
+      jobs.add(new JobEntry(job));
     }
   }
 
@@ -223,7 +248,7 @@
       return ScopeResult.UNKNOWN_JOB;
     }
     if (!entry.status().isFinal()) {
-      entry.end(JobStatus.CANCELLED, command.atMillis());
+      jobs.end(entry, JobStatus.CANCELLED, command.atMillis());
     }
     return ScopeResult.APPLIED;
   }
@@ -259,7 +284,7 @@
     }
     step.open(run.task().index(), run.attempt(), placement.worker());
     worker.openRuns().add(run);
-    entry.started();
+    jobs.started(entry);
   }
 
   private void recordEnds(ScopeCommand.RecordEnds command) {
@@ -283,7 +308,7 @@
     worker.openRuns().remove(end.run());
     JobEntry entry = jobs.get(key.job());
     StepRecord step = entry.step(key.stepKey());
-    entry.runClosed();
+    jobs.runClosed(entry);
     if (step == null) {
       // Its occurrence is done: this is another member of a gang that has ended.
       return;
@@ -328,7 +353,7 @@
         new ArrayList<>(entry.occurrences().entrySet())) {
       List<StepRecord> steps = begun.getValue();
       if (steps.stream().anyMatch(step -> step.hasFailed(maxAttempts))) {
-        entry.end(JobStatus.FAILED, atMillis);
+        jobs.end(entry, JobStatus.FAILED, atMillis);
         return;
       }
       boolean isOver = steps.stream().allMatch(StepRecord::isDone);
@@ -337,7 +362,7 @@
       }
     }
     if (entry.doneOccurrences().size() == entry.job().recurrence().occurrences()) {
-      entry.end(JobStatus.COMPLETED, atMillis);
+      jobs.end(entry, JobStatus.COMPLETED, atMillis);
     }
   }
 
@@ -349,18 +374,14 @@
   }
 
   private void seeWorker(WorkerInfo info) {
-    List<WorkerKey> earlier =
-        workers.values().stream()
-            .map(WorkerRecord::info)
-            .filter(known -> known.key().bornMillis() < info.key().bornMillis())
-            .filter(
-                known ->
-                    known.key().target().equals(info.key().target())
-                        || known.address().equals(info.address()))
-            .map(WorkerInfo::key)
-            .toList();
-    earlier.forEach(this::forgetWorker);
-    workers.computeIfAbsent(info.key(), key -> new WorkerRecord(info, 0));
+    workerIndex.sharing(info).stream()
+        .map(WorkerInfo::key)
+        .filter(known -> known.bornMillis() < info.key().bornMillis())
+        .forEach(this::forgetWorker);
+    if (!workers.containsKey(info.key())) {
+      workers.put(info.key(), new WorkerRecord(info, 0));
+      workerIndex.add(info);
+    }
   }
 
   private void forgetWorker(WorkerKey key) {
@@ -372,5 +393,6 @@
       close(worker, new RunEnd(run, RunOutcome.WORKER_LOST, ""));
     }
     workers.remove(key);
+    workerIndex.remove(worker.info());
   }
 }
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLedgerIndexTest.java
@@ -0,0 +1,265 @@
+package org.primrosegauge.core.scope;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.primrosegauge.core.CustomerId;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.HostPort;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.ServiceId;
+import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.job.Resources;
+
+/** The indexes of the ledger against a walk over all that it holds, after random commands. */
+class ScopeLedgerIndexTest {
+
+  private static final String SEED = "20261204";
+  private static final ServiceId POOL = new ServiceId("pool");
+  private static final Resources SMALL = new Resources(1_000, 1_000, 1);
+  private static final long RETENTION_MILLIS = 60;
+  private static final int COMMANDS = 250;
+  private static final int QUEUES = 3;
+
+  private ScopeLedger ledger = new ScopeLedger(RETENTION_MILLIS);
+  private Random random = new Random(0);
+  private long now;
+
+  @Property(tries = 150, seed = SEED, shrinking = ShrinkingMode.OFF)
+  void indexesEqualWalksOverAllJobsAndWorkers(@ForAll @LongRange(min = 1) long seed) {
+    ledger = new ScopeLedger(RETENTION_MILLIS);
+    random = new Random(seed);
+    now = 1_000;
+    for (int i = 0; i < COMMANDS; i++) {
+      now += random.nextInt(8);
+      if (random.nextInt(20) == 0) {
+        restoreElsewhere();
+      }
+      act();
+      checkJobs();
+    }
+  }
+
+  // Walks
+
+  private void checkJobs() {
+    assertThat(ledger.openJobs())
+        .containsExactlyElementsIn(
+            ledger.jobs().stream().filter(job -> !job.status().isFinal()).toList())
+        .inOrder();
+    Set<QueueName> pending = new HashSet<>();
+    for (int i = 0; i < QUEUES; i++) {
+      QueueName queue = queue(i);
+      assertThat(ledger.pending(queue)).isEqualTo(queued(queue).count());
+      OptionalLong since = queued(queue).mapToLong(job -> job.job().submittedMillis()).min();
+      assertThat(ledger.pendingSince(queue)).isEqualTo(since);
+      if (since.isPresent()) {
+        pending.add(queue);
+      }
+    }
+    assertThat(ledger.pendingQueues()).isEqualTo(pending);
+  }
+
+  private Stream<JobEntry> queued(QueueName queue) {
+    return ledger.jobs().stream()
+        .filter(job -> job.status() == JobStatus.QUEUED && job.job().queue().equals(queue));
+  }
+
+  private Set<JobId> keptBy(ScopeJob submitted) {
+    Set<JobId> kept =
+        ledger.jobs().stream()
+            .filter(
+                old ->
+                    !old.status().isFinal()
+                        || old.openRuns() > 0
+                        || old.endedMillis() + RETENTION_MILLIS >= submitted.submittedMillis())
+            .map(old -> old.job().id())
+            .collect(Collectors.toSet());
+    kept.add(submitted.id());
+    return kept;
+  }
+
+  private Set<WorkerKey> keptBy(WorkerInfo seen) {
+    Set<WorkerKey> kept =
+        ledger.workers().stream()
+            .map(WorkerRecord::info)
+            .filter(
+                known ->
+                    known.key().bornMillis() >= seen.key().bornMillis()
+                        || !known.key().target().equals(seen.key().target())
+                            && !known.address().equals(seen.address()))
+            .map(WorkerInfo::key)
+            .collect(Collectors.toSet());
+    kept.add(seen.key());
+    return kept;
+  }
+
+  // Commands
+
+  /** What a leader holds after a restart, and what it goes on with. */
+  private void restoreElsewhere() {
+    ScopeSnapshot snapshot = ledger.snapshot();
+    ledger = new ScopeLedger(RETENTION_MILLIS);
+    for (int i = 0; i < 3; i++) {
+      submit();
+    }
+    ledger.restore(snapshot);
+    assertThat(ledger.snapshot()).isEqualTo(snapshot);
+    checkJobs();
+  }
+
+  private void act() {
+    switch (random.nextInt(12)) {
+      case 0 -> seeWorker();
+      case 1 -> ledger.apply(new ScopeCommand.ForgetWorker(workerKey()));
+      case 2 -> ledger.apply(new ScopeCommand.Cancel(jobId(), now));
+      case 3, 4, 5 -> submit();
+      case 6, 7, 8 -> place();
+      default -> recordEnds();
+    }
+  }
+
+  private void seeWorker() {
+    WorkerInfo seen =
+        new WorkerInfo(
+            workerKey(),
+            new HostPort("10.0.0." + random.nextInt(5), 80),
+            POOL,
+            new FailureDomainId("d"),
+            SMALL,
+            List.of(),
+            "");
+    Set<WorkerKey> kept = keptBy(seen);
+    ledger.apply(new ScopeCommand.SeeWorker(seen));
+    assertThat(ledger.workers().stream().map(worker -> worker.info().key()).toList())
+        .containsExactlyElementsIn(kept);
+  }
+
+  private void submit() {
+    List<StepSpec> steps = new ArrayList<>();
+    int count = 1 + random.nextInt(2);
+    for (int i = 0; i < count; i++) {
+      steps.add(
+          StepSpec.builder(1 + random.nextInt(3))
+              .task(SMALL)
+              .estimatedMillis(100)
+              .gang(random.nextInt(3) == 0)
+              .build());
+    }
+    Recurrence recurrence = random.nextInt(4) == 0 ? new Recurrence(now, 10, 2) : Recurrence.NONE;
+    // Clocks of leaders differ, so a later submission may carry an earlier time.
+    long submitted = now - random.nextInt(20);
+    ScopeJob job =
+        new ScopeJob(
+            jobId(),
+            queue(random.nextInt(QUEUES)),
+            POOL,
+            null,
+            2,
+            submitted,
+            "payload",
+            steps,
+            recurrence);
+    Set<JobId> kept = keptBy(job);
+    ledger.apply(new ScopeCommand.Submit(job));
+    assertThat(ledger.jobs().stream().map(entry -> entry.job().id()).toList())
+        .containsExactlyElementsIn(kept);
+  }
+
+  private void place() {
+    JobId id = jobId();
+    JobEntry job = ledger.job(id).orElse(null);
+    if (job == null) {
+      return;
+    }
+    int stepNumber = random.nextInt(job.job().steps().size());
+    StepKey step = new StepKey(id, random.nextInt(2), stepNumber);
+    List<Placement> placements = new ArrayList<>();
+    for (int index = 0; index < job.job().steps().get(stepNumber).count(); index++) {
+      RunId run = new RunId(step.task(index), 1 + random.nextInt(4));
+      placements.add(new Placement(run, anyWorker()));
+    }
+    ledger.apply(new ScopeCommand.Place(placements));
+  }
+
+  private void recordEnds() {
+    Collection<WorkerRecord> workers = ledger.workers();
+    if (workers.isEmpty()) {
+      return;
+    }
+    WorkerRecord worker = List.copyOf(workers).get(random.nextInt(workers.size()));
+    RunOutcome[] outcomes = RunOutcome.values();
+    List<RunEnd> ends =
+        worker.openRuns().stream()
+            .filter(run -> random.nextBoolean())
+            .map(run -> new RunEnd(run, outcomes[random.nextInt(outcomes.length)], ""))
+            .toList();
+    ledger.apply(new ScopeCommand.RecordEnds(worker.info().key(), 0, ends, now));
+  }
+
+  private WorkerKey anyWorker() {
+    List<WorkerRecord> workers = List.copyOf(ledger.workers());
+    return workers.isEmpty()
+        ? workerKey()
+        : workers.get(random.nextInt(workers.size())).info().key();
+  }
+
+  private WorkerKey workerKey() {
+    return new WorkerKey(new TargetId("w" + random.nextInt(5)), 1 + random.nextInt(6));
+  }
+
+  private JobId jobId() {
+    return new JobId("job-" + random.nextInt(25));
+  }
+
+  private static QueueName queue(int number) {
+    return new QueueName("q" + number);
+  }
+
+  // Configuration
+
+  /** The first of equal names, ids and keys counts, as in a walk. */
+  @Test
+  void configurationFindsTheFirstOfEqualEntries() {
+    CustomerId customer = new CustomerId("c");
+    CustomerId other = new CustomerId("d");
+    ScopeConfiguration configuration =
+        new ScopeConfiguration(
+            new Revision(1),
+            List.of(spec("a", 2), spec("b", 1), spec("a", 0)),
+            List.of(
+                new CustomerSpec(customer, List.of("k1", "k2"), 4),
+                new CustomerSpec(other, List.of("k2", "k3"), 8),
+                new CustomerSpec(customer, List.of("k4"), 16)),
+            1_000);
+    assertThat(configuration.priorityOf(new QueueName("a"))).isEqualTo(2);
+    assertThat(configuration.priorityOf(new QueueName("none"))).isEqualTo(Integer.MAX_VALUE);
+    assertThat(configuration.queue(new QueueName("b"))).hasValue(spec("b", 1));
+    assertThat(configuration.customerOf("k2")).hasValue(customer);
+    assertThat(configuration.customerOf("k3")).hasValue(other);
+    assertThat(configuration.customerOf("k4")).hasValue(customer);
+    assertThat(configuration.customerOf("none")).isEmpty();
+    assertThat(configuration.guaranteedTo(customer)).isEqualTo(4);
+    assertThat(configuration.guaranteedTo(new CustomerId("none"))).isEqualTo(0);
+    assertThat(configuration.queues()).isEqualTo(List.of(spec("a", 2), spec("b", 1), spec("a", 0)));
+  }
+
+  private static QueueSpec spec(String name, int priority) {
+    return new QueueSpec(
+        new QueueName(name), "host", "/" + name + "/", POOL, priority, 3, 2.0, 0, true);
+  }
+}
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
@@ -11,6 +11,7 @@
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.JobStatus;
+import org.primrosegauge.core.scope.QueueName;
 import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeLedger;
 import org.primrosegauge.node.duty.DutyLoad;
@@ -171,14 +172,12 @@
 
   private static Map<Integer, Waiting> waiting(ScopeLedger ledger) {
     Map<Integer, Waiting> found = new TreeMap<>();
-    for (JobEntry entry : ledger.jobs()) {
-      if (entry.status() == JobStatus.QUEUED) {
-        Waiting same =
-            found.computeIfAbsent(
-                ledger.configuration().priorityOf(entry.job().queue()), key -> new Waiting());
-        same.jobs++;
-        same.sinceMillis = Math.min(same.sinceMillis, entry.job().submittedMillis());
-      }
+    for (QueueName queue : ledger.pendingQueues()) {
+      Waiting same =
+          found.computeIfAbsent(ledger.configuration().priorityOf(queue), key -> new Waiting());
+      same.jobs += ledger.pending(queue);
+      same.sinceMillis =
+          Math.min(same.sinceMillis, ledger.pendingSince(queue).orElse(Long.MAX_VALUE));
     }
     return found;
   }
