--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -86,7 +86,7 @@
     WorkerSession session = new WorkerSession(info, now, silentSince);
     long longest = state.settings.leaseMillis() * 100 / (100 - state.settings.clockErrorPercent());
     session.lapseNotBeforeMillis = now + longest;
-    state.sessions.put(info.key(), session);
+    state.addSession(session);
     return session;
   }
 
@@ -120,12 +120,13 @@
     } else if (command instanceof ScopeCommand.Cancel cancel) {
       stopJob(cancel.job(), "cancelled", present);
     } else if (command instanceof ScopeCommand.SeeWorker seen) {
-      dropOldSessions(present);
+      dropOldSessions(state.sessionsSharing(seen.worker()), present);
       if (!state.sessions.containsKey(seen.worker().key())) {
         openNewSession(seen.worker(), present);
       }
-    } else if (command instanceof ScopeCommand.ForgetWorker) {
-      dropOldSessions(present);
+    } else if (command instanceof ScopeCommand.ForgetWorker gone) {
+      WorkerSession session = state.sessions.get(gone.worker());
+      dropOldSessions(session == null ? List.of() : List.of(session), present);
     }
   }
 
@@ -188,10 +189,8 @@
   }
 
   private void stopJob(JobId job, String why, Present present) {
-    state.examined(state.runs.size());
-    for (RunControl run : List.copyOf(state.runs.values())) {
-      boolean isGangDone = isDoneElsewhere(run);
-      if (run.id.task().job().equals(job) && !isGangDone) {
+    for (RunControl run : state.runsOfJob(job)) {
+      if (!isDoneElsewhere(run)) {
         orders.stop(run, why, present);
       }
     }
@@ -203,14 +202,14 @@
     return run.spec.gang() && (step == null || step.isDone());
   }
 
-  private void dropOldSessions(Present present) {
-    state.examined(state.sessions.size());
+  /** Ends those of some sessions whose lifetime the ledger does not hold any more. */
+  private void dropOldSessions(List<WorkerSession> touched, Present present) {
     List<WorkerSession> old =
-        state.sessions.values().stream()
+        touched.stream()
             .filter(session -> state.ledger.worker(session.info.key()).isEmpty())
             .toList();
     for (WorkerSession session : old) {
-      state.sessions.remove(session.info.key());
+      state.removeSession(session);
       state.report(
           ScopeEvent.of(Kind.WORKER_GONE, session.info.key(), "runs=" + session.runs.size()));
       for (RunControl run : new ArrayList<>(session.runs.values())) {
@@ -271,29 +270,20 @@
 
   /** A heartbeat of an earlier lifetime, or from an address that another worker has taken over. */
   private boolean isOutdated(WorkerInfo info) {
-    state.examined(state.sessions.size());
-    return state.sessions.values().stream()
-        .map(session -> session.info)
-        .filter(known -> known.key().bornMillis() > info.key().bornMillis())
-        .anyMatch(
-            known ->
-                known.key().target().equals(info.key().target())
-                    || known.address().equals(info.address()));
+    return state.sessionsSharing(info).stream()
+        .anyMatch(known -> known.info.key().bornMillis() > info.key().bornMillis());
   }
 
   /** Notes that a worker ends; runs still there are over once nothing listens or they lapse. */
   public void workerLeft(TargetId target, Present present) {
-    state.examined(state.sessions.size());
-    for (WorkerSession session : List.copyOf(state.sessions.values())) {
-      if (session.info.key().target().equals(target)) {
-        session.draining = true;
-        session.saidItEnds = true;
-        session.drainEndMillis = present.millis();
-        if (session.runs.isEmpty()) {
-          orders.lifetimeOver(session);
-        } else {
-          orders.lookSoon(session, present.millis());
-        }
+    for (WorkerSession session : state.sessionsOf(target)) {
+      session.draining = true;
+      session.saidItEnds = true;
+      session.drainEndMillis = present.millis();
+      if (session.runs.isEmpty()) {
+        orders.lifetimeOver(session);
+      } else {
+        orders.lookSoon(session, present.millis());
       }
     }
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.RunId;
@@ -17,6 +19,7 @@
 import org.primrosegauge.core.scope.ScopeLedger;
 import org.primrosegauge.core.scope.StepKey;
 import org.primrosegauge.core.scope.TaskKey;
+import org.primrosegauge.core.scope.WorkerInfo;
 import org.primrosegauge.core.scope.WorkerKey;
 import org.primrosegauge.core.scope.WorkerStatus;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
@@ -40,6 +43,9 @@
   final Map<StepKey, Long> notBefore = new HashMap<>();
   final Map<StepKey, Long> farAllowedAt = new HashMap<>();
   final Map<StepKey, Set<WorkerKey>> failedOn = new HashMap<>();
+  private final WorkerIndex sessionIndex = new WorkerIndex();
+  private final Map<StepKey, Map<RunId, RunControl>> runsByStep = new HashMap<>();
+  private final Map<JobId, Map<RunId, RunControl>> runsByJob = new HashMap<>();
   private final Map<StepKey, Integer> proposedRuns = new HashMap<>();
   private final Set<TaskKey> proposedTasks = new HashSet<>();
   private List<ScopeAction> actions = new ArrayList<>();
@@ -55,8 +61,11 @@
 
   void clear() {
     sessions.clear();
+    sessionIndex.clear();
     announced.clear();
     runs.clear();
+    runsByStep.clear();
+    runsByJob.clear();
     reservations.clear();
     notBefore.clear();
     farAllowedAt.clear();
@@ -106,22 +115,73 @@
     }
   }
 
+  // Sessions
+
+  void addSession(WorkerSession session) {
+    sessions.put(session.info.key(), session);
+    sessionIndex.add(session.info);
+  }
+
+  void removeSession(WorkerSession session) {
+    sessions.remove(session.info.key());
+    sessionIndex.remove(session.info);
+  }
+
+  /** Returns a copy of the sessions of a target. */
+  List<WorkerSession> sessionsOf(TargetId target) {
+    List<WorkerSession> found = sessionIndex.ofTarget(target).stream().map(sessions::get).toList();
+    examined(found.size());
+    return found;
+  }
+
+  /** Returns a copy of the sessions with the target or the address of a worker, its own too. */
+  List<WorkerSession> sessionsSharing(WorkerInfo info) {
+    List<WorkerSession> found =
+        sessionIndex.sharing(info).stream().map(known -> sessions.get(known.key())).toList();
+    examined(found.size());
+    return found;
+  }
+
   // Runs
 
   void add(RunControl run) {
     runs.put(run.id, run);
+    runsByStep
+        .computeIfAbsent(run.id.task().stepKey(), step -> new LinkedHashMap<>())
+        .put(run.id, run);
+    runsByJob.computeIfAbsent(run.id.task().job(), job -> new LinkedHashMap<>()).put(run.id, run);
     run.worker.add(run);
   }
 
   void remove(RunControl run) {
     runs.remove(run.id);
+    removeFrom(runsByStep, run.id.task().stepKey(), run.id);
+    removeFrom(runsByJob, run.id.task().job(), run.id);
     run.worker.remove(run);
     dirty = true;
   }
 
-  Collection<RunControl> runsOf(StepKey step) {
-    examined(runs.size());
-    return runs.values().stream().filter(run -> run.id.task().stepKey().equals(step)).toList();
+  private static <K> void removeFrom(Map<K, Map<RunId, RunControl>> index, K key, RunId run) {
+    index.computeIfPresent(
+        key,
+        (same, known) -> {
+          known.remove(run);
+          return known.isEmpty() ? null : known;
+        });
+  }
+
+  /** Returns a copy of the runs of a step. */
+  List<RunControl> runsOf(StepKey step) {
+    List<RunControl> found = List.copyOf(runsByStep.getOrDefault(step, Map.of()).values());
+    examined(found.size());
+    return found;
+  }
+
+  /** Returns a copy of the runs of a job. */
+  List<RunControl> runsOfJob(JobId job) {
+    List<RunControl> found = List.copyOf(runsByJob.getOrDefault(job, Map.of()).values());
+    examined(found.size());
+    return found;
   }
 
   /** Returns the runs that end with a run: all members of its gang, or itself. */
