Duty: the log's own messages run before decisions and questions; answers are never dropped

A leader behind with decisions answered its own log late; and "an answer of a worker was dropped because the ring of the log is full".

Cause: one ring in the order of arrival for the log's messages, workers' answers, heartbeats and callers' questions. A dropped answer is worse than a late one: the scheduler waits for it for ever, so a worker whose look it was is never looked at again and its lease runs out, and a placement whose refusal by the log is dropped stays proposed.

Ruled out: a longer ring. It holds more of what nobody waits for.

Change: a duty has a ring for each rank: FIRST (messages between replicas, syncs), ANSWER (what became of its own orders, looks and proposals; without bound, since there are as many as it asked for), USUAL (all else). Batch, tick and settling are each followed by a look at the first rank. The longest wait of that rank is in the LOAD line and a gauge. Stated target: 50 ms.

A flood of the first rank leaves a tick in each heartbeat interval. Whole instances over loopback pass.

Why it works: what keeps the lease no longer depends on the length of any queue, only on the longest single task. A pass of the planner longer than 50 ms still breaks the target; bounding one pass is the planner's part.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/Duty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/Duty.java
@@ -1,11 +1,16 @@
 package org.primrosegauge.node.duty;
 
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.jctools.queues.MpscArrayQueue;
+import org.jctools.queues.MpscUnboundedArrayQueue;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.slf4j.Logger;
@@ -13,9 +18,10 @@
 import reactor.core.publisher.Mono;
 
 /**
- * One thread with one duty. It takes tasks from a bounded ring, in the order in which they were
- * offered, and calls a tick function at a fixed interval between them. What a batch of tasks makes
- * necessary only once is done by its {@link Settling} between two batches.
+ * One thread with one duty. It takes tasks from bounded rings, one for each {@link Rank}, and calls
+ * a tick function at a fixed interval between them. Tasks of one rank run in the order in which
+ * they were offered; a task runs only when none of an earlier rank waits. What a batch of tasks
+ * makes necessary only once is done by its {@link Settling} between two batches.
  *
  * <p>State that only the duty's tasks and tick touch needs no locks. {@link #offer} and {@link
  * #ask} may be called from any thread. Life-cycle: {@link #start} once, then {@link #close} once;
@@ -34,8 +40,29 @@
   private static final long SHORTEST_TICK_MILLIS = 5;
   private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
+  private static final int ANSWERS_CHUNK = 256;
+
+  /**
+   * What a task is worth when not all can run in time; the first comes first.
+   *
+   * @since 0.3
+   */
+  public enum Rank {
+    /** Keeps up what the duty owes its peers; other work that waits must not end that. */
+    FIRST,
+    /**
+     * Tells the duty what became of something that it asked for. Never refused: there are as many
+     * as it has asked for, and it would wait for a lost one for ever.
+     */
+    ANSWER,
+    /** All else. */
+    USUAL
+  }
+
+  private static final List<Rank> RANKS = List.of(Rank.values());
+
   /** A task with the time at which it was handed over. */
-  private record Queued(Runnable task, long atMillis) {}
+  private record Queued(Rank rank, Runnable task, long atMillis) {}
 
   /**
    * Work that follows from any number of tasks and is done once for all of them. Both methods are
@@ -65,7 +92,7 @@
   }
 
   private final String name;
-  private final MpscArrayQueue<Queued> ring;
+  private final Map<Rank, Queue<Queued>> rings = new EnumMap<>(Rank.class);
   private final long tickMillis;
   private final MonotonicClock clock;
   private final LongConsumer tick;
@@ -84,7 +111,7 @@
    * Creates a duty that does not run yet.
    *
    * @param name name of the thread
-   * @param capacity most tasks that wait in the ring
+   * @param capacity most tasks that wait in a ring
    * @param tickMillis interval of the tick function, in milliseconds
    * @param clock source of the present
    * @param tick called with the present; a failure is logged and does not end the duty
@@ -125,7 +152,9 @@
       LongSupplier wakeAt,
       Settling settling) {
     this.name = name;
-    this.ring = new MpscArrayQueue<>(capacity);
+    this.rings.put(Rank.FIRST, new MpscArrayQueue<>(capacity));
+    this.rings.put(Rank.ANSWER, new MpscUnboundedArrayQueue<>(ANSWERS_CHUNK));
+    this.rings.put(Rank.USUAL, new MpscArrayQueue<>(capacity));
     this.tickMillis = tickMillis;
     this.clock = clock;
     this.tick = tick;
@@ -163,13 +192,23 @@
   // Main API
 
   /**
-   * Hands over a task.
+   * Hands over a task of the usual rank.
    *
    * @return false when the ring is full or the duty is closed; the task will not run
    * @since 0.1
    */
   public boolean offer(Runnable task) {
-    if (closed || !ring.offer(new Queued(task, clock.nowMillis()))) {
+    return offer(Rank.USUAL, task);
+  }
+
+  /**
+   * Hands over a task.
+   *
+   * @return false when the ring of the rank is full or the duty is closed; the task will not run
+   * @since 0.3
+   */
+  public boolean offer(Rank rank, Runnable task) {
+    if (closed || !rings.get(rank).offer(new Queued(rank, task, clock.nowMillis()))) {
       return false;
     }
     if (parked) {
@@ -179,9 +218,9 @@
   }
 
   /**
-   * Runs a task on the duty's thread and returns what it returned. The task is handed over when the
-   * result is subscribed to; an error of kind {@link ErrorKind#OVER_LIMIT} says that the ring was
-   * full and the task did not run.
+   * Runs a task of the usual rank on the duty's thread and returns what it returned. The task is
+   * handed over when the result is subscribed to; an error of kind {@link ErrorKind#OVER_LIMIT}
+   * says that the ring was full and the task did not run.
    *
    * @since 0.1
    */
@@ -219,11 +258,25 @@
    * @since 0.3
    */
   public DutyLoad.Figures takeLoad() {
-    return load.take(ring.size());
+    return load.take(waiting());
   }
 
   // Internals
 
+  private int waiting() {
+    return rings.values().stream().mapToInt(Queue::size).sum();
+  }
+
+  private Queued poll(Rank last) {
+    for (Rank rank : RANKS) {
+      Queued next = rings.get(rank).poll();
+      if (next != null || rank == last) {
+        return next;
+      }
+    }
+    return null;
+  }
+
   private PrimrosegaugeException fullRing() {
     return new PrimrosegaugeException(
         ErrorKind.OVER_LIMIT, "the " + name + " ring is full", "come back in a second", "");
@@ -246,37 +299,42 @@
   }
 
   /**
-   * Runs one batch of tasks, then settles and ticks if that is due.
+   * Runs one batch of tasks, then ticks and settles if that is due. Between the three, tasks of the
+   * first rank run, so that they never wait for more than one of them.
    *
    * @return time for which there is nothing to do, in milliseconds
    */
   long turn() {
-    boolean isBusy = drain() > 0;
+    boolean isBusy = drain(Rank.USUAL) > 0;
+    drain(Rank.FIRST);
     long now = clock.nowMillis();
-    if (now >= settling.dueMillis()) {
-      guarded(() -> settling.settle(now));
-      isBusy = true;
-    }
     // The pause bounds the rate of ticks of a duty that always has something due.
-    long due = Math.max(earliestTick, Math.min(nextTick, wakeAt.getAsLong()));
-    if (now >= due) {
+    long tickDue = Math.max(earliestTick, Math.min(nextTick, wakeAt.getAsLong()));
+    if (now >= tickDue) {
       guarded(() -> tick.accept(now));
       nextTick = now + tickMillis;
       earliestTick = now + SHORTEST_TICK_MILLIS;
+      drain(Rank.FIRST);
+      isBusy = true;
+    }
+    long settleDue = settling.dueMillis();
+    if (now >= settleDue) {
+      guarded(() -> settling.settle(clock.nowMillis()));
       isBusy = true;
     }
-    return isBusy ? 0 : Math.min(due, settling.dueMillis()) - now;
+    return isBusy ? 0 : Math.min(tickDue, settleDue) - now;
   }
 
-  private int drain() {
+  /** Runs tasks of the ranks up to one for a bounded time. */
+  private int drain(Rank last) {
     int ran = 0;
-    long endMillis = clock.nowMillis() + LONGEST_BATCH_MILLIS;
     long beganMillis = clock.nowMillis();
+    final long endMillis = beganMillis + LONGEST_BATCH_MILLIS;
     Queued next;
-    while (ran < MAX_TASKS_IN_BATCH && beganMillis < endMillis && (next = ring.poll()) != null) {
+    while (ran < MAX_TASKS_IN_BATCH && beganMillis < endMillis && (next = poll(last)) != null) {
       guarded(next.task());
       long endedMillis = clock.nowMillis();
-      load.ran(beganMillis - next.atMillis(), endedMillis - beganMillis);
+      load.ran(next.rank(), beganMillis - next.atMillis(), endedMillis - beganMillis);
       beganMillis = endedMillis;
       ran++;
     }
@@ -293,8 +351,8 @@
 
   private void parkFor(long millis) {
     parked = true;
-    // The second look at the ring closes the gap in which an offer saw parked as false.
-    if (ring.isEmpty() && !closed) {
+    // The second look at the rings closes the gap in which an offer saw parked as false.
+    if (waiting() == 0 && !closed) {
       LockSupport.parkNanos(this, TimeUnit.MILLISECONDS.toNanos(millis));
     }
     parked = false;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/DutyLoad.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/DutyLoad.java
@@ -11,6 +11,7 @@
 
   private long tasks;
   private long longestWaitMillis;
+  private long longestFirstWaitMillis;
   private long longestTaskMillis;
   private long busyMillis;
 
@@ -20,15 +21,28 @@
    * @param tasks tasks that have run
    * @param waiting tasks that wait now
    * @param longestWaitMillis longest time that one of them waited, in milliseconds
+   * @param longestFirstWaitMillis the same of those of the first rank, in milliseconds
    * @param longestTaskMillis longest time that one of them took, in milliseconds
    * @param busyMillis time that all of them took, in milliseconds
    * @since 0.3
    */
   public record Figures(
-      long tasks, int waiting, long longestWaitMillis, long longestTaskMillis, long busyMillis) {}
+      long tasks,
+      int waiting,
+      long longestWaitMillis,
+      long longestFirstWaitMillis,
+      long longestTaskMillis,
+      long busyMillis) {
 
-  void ran(long waitMillis, long taskMillis) {
+    /** Load of a duty that has done nothing. */
+    public static final Figures NONE = new Figures(0, 0, 0, 0, 0, 0);
+  }
+
+  void ran(Duty.Rank rank, long waitMillis, long taskMillis) {
     tasks++;
+    if (rank == Duty.Rank.FIRST) {
+      longestFirstWaitMillis = Math.max(longestFirstWaitMillis, waitMillis);
+    }
     longestWaitMillis = Math.max(longestWaitMillis, waitMillis);
     longestTaskMillis = Math.max(longestTaskMillis, taskMillis);
     busyMillis += taskMillis;
@@ -36,9 +50,16 @@
 
   Figures take(int waiting) {
     final Figures taken =
-        new Figures(tasks, waiting, longestWaitMillis, longestTaskMillis, busyMillis);
+        new Figures(
+            tasks,
+            waiting,
+            longestWaitMillis,
+            longestFirstWaitMillis,
+            longestTaskMillis,
+            busyMillis);
     tasks = 0;
     longestWaitMillis = 0;
+    longestFirstWaitMillis = 0;
     longestTaskMillis = 0;
     busyMillis = 0;
     return taken;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -117,7 +117,8 @@
         .transport()
         .onTell(
             LogMessage.class,
-            (from, message) -> duty.offer(() -> perform(replica.received(from, message, now()))));
+            (from, message) ->
+                duty.offer(Duty.Rank.FIRST, () -> perform(replica.received(from, message, now()))));
   }
 
   // Life-cycle
@@ -429,7 +430,11 @@
     }
     long last = unsynced.get(unsynced.size() - 1).write();
     unsynced.clear();
-    duty.offer(() -> perform(replica.synced(last, now())));
+    Runnable synced = () -> perform(replica.synced(last, now()));
+    if (!duty.offer(Duty.Rank.FIRST, synced)) {
+      // Nothing else tells that these writes are durable.
+      duty.offer(Duty.Rank.ANSWER, synced);
+    }
   }
 
   private void fail(StorageException error) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -11,6 +11,7 @@
 import org.primrosegauge.core.scope.StartAnswer;
 import org.primrosegauge.core.scope.StopAnswer;
 import org.primrosegauge.core.scope.WorkerKey;
+import org.primrosegauge.node.duty.Duty;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.log.ReplicatedLog;
 import org.primrosegauge.node.log.SealedCodec;
@@ -179,13 +180,9 @@
         .subscribe(
             result -> {},
             error ->
-                log.duty()
-                    .offer(
-                        () -> {
-                          run(
-                              EventKind.NOT_APPLIED,
-                              (leader, present) -> leader.proposalFailed(command, present));
-                        }));
+                later(
+                    EventKind.NOT_APPLIED,
+                    (leader, present) -> leader.proposalFailed(command, present)));
   }
 
   private void start(ScopeAction.Start order, boolean mayOrder) {
@@ -198,6 +195,7 @@
         answered -> {
           meters.workerAnswered("start", answered.answer(), clock.nowMillis() - sent);
           later(
+              EventKind.ANSWER,
               (leader, present) ->
                   leader.startAnswered(
                       order.run(), answered.answer(), answered.clockMillis(), present));
@@ -211,7 +209,7 @@
     reply.subscribe(
         answered -> {
           meters.workerAnswered("stop", answered, clock.nowMillis() - sent);
-          later((leader, present) -> leader.stopAnswered(run, answered, present));
+          later(EventKind.ANSWER, (leader, present) -> leader.stopAnswered(run, answered, present));
         });
   }
 
@@ -223,20 +221,23 @@
     reply.subscribe(
         answered -> {
           meters.workerAnswered("look", answered.kind(), clock.nowMillis() - sent);
-          later((leader, present) -> leader.lookAnswered(worker, answered, present));
+          later(
+              EventKind.ANSWER,
+              (leader, present) -> leader.lookAnswered(worker, answered, present));
         });
   }
 
-  /** Hands an answer to the log thread; it comes from an event loop. */
-  private void later(Event event) {
+  /** Hands over an answer, which comes from an event loop or while another event is handled. */
+  private void later(EventKind kind, Event event) {
     boolean taken =
         log.duty()
             .offer(
+                Duty.Rank.ANSWER,
                 () -> {
-                  run(EventKind.ANSWER, event);
+                  run(kind, event);
                 });
     if (!taken) {
-      LOG.error("an answer of a worker was dropped because the ring of the log is full");
+      LOG.info("an answer came after the end of the log's thread");
     }
   }
 }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
@@ -41,7 +41,7 @@
   private final Set<JobId> queuedBefore = new HashSet<>();
   private final Map<JobId, JobStatus> openBefore = new HashMap<>();
   private long nextGaugesMillis;
-  private volatile DutyLoad.Figures threadLoad = new DutyLoad.Figures(0, 0, 0, 0, 0);
+  private volatile DutyLoad.Figures threadLoad = DutyLoad.Figures.NONE;
 
   /**
    * Creates meters in a registry.
@@ -57,6 +57,9 @@
     metrics.gauge("primrosegauge.scope.thread.waiting", () -> threadLoad.waiting());
     metrics.gauge(
         "primrosegauge.scope.thread.longest.wait.millis", () -> threadLoad.longestWaitMillis());
+    metrics.gauge(
+        "primrosegauge.scope.thread.log.longest.wait.millis",
+        () -> threadLoad.longestFirstWaitMillis());
     metrics.gauge("primrosegauge.scope.thread.busy.millis", () -> threadLoad.busyMillis());
     this.longestWait =
         MultiGauge.builder("primrosegauge.scope.waiting.longest.seconds")
