Leader: a call that has waited longer than its caller is refused, and not run for nobody

Cause: a leader that is behind carries out submissions, cancels and reads whose senders have given up (600 ms), and so stays behind; a full ring refused whatever came last, heartbeats as well as reads.

Ruled out: leaving out late heartbeats and reports too. They cost a look into a map, and a worker whose heartbeats are left out counts as silent and gets nothing new. Orders of operators, words of workers and questions about the leader are therefore taken whatever their age; without the last, all instances search for a leader at once.

Change: callers' submissions and cancels (CALL) and reads of job states (READ) have ranks and rings of their own behind all else, so a flood of reads takes no room from others. One that has waited over 500 ms (600 less the way back) is refused as OVERLOADED with a second to come back after, counted by reason (primrosegauge.scope.given.up). A submission is looked up first: one that is in the ledger is acknowledged, one that is on its way into the log is answered as unknown, and only the rest is refused, so "not run" stays true.

Why it works: the work that a leader takes on is at most what somebody still waits for, so a queue drains instead of feeding retries.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/Duty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/duty/Duty.java
@@ -56,7 +56,11 @@
      */
     ANSWER,
     /** All else. */
-    USUAL
+    USUAL,
+    /** Asks for a change, on behalf of someone outside who waits for a while. */
+    CALL,
+    /** Asks for what someone outside can ask again; the first that is given up. */
+    READ
   }
 
   private static final List<Rank> RANKS = List.of(Rank.values());
@@ -155,6 +159,8 @@
     this.rings.put(Rank.FIRST, new MpscArrayQueue<>(capacity));
     this.rings.put(Rank.ANSWER, new MpscUnboundedArrayQueue<>(ANSWERS_CHUNK));
     this.rings.put(Rank.USUAL, new MpscArrayQueue<>(capacity));
+    this.rings.put(Rank.CALL, new MpscArrayQueue<>(capacity));
+    this.rings.put(Rank.READ, new MpscArrayQueue<>(capacity));
     this.tickMillis = tickMillis;
     this.clock = clock;
     this.tick = tick;
@@ -225,10 +231,20 @@
    * @since 0.1
    */
   public <T> Mono<T> ask(Callable<T> task) {
+    return ask(Rank.USUAL, task);
+  }
+
+  /**
+   * Runs a task on the duty's thread, as {@link #ask(Callable)} does.
+   *
+   * @since 0.3
+   */
+  public <T> Mono<T> ask(Rank rank, Callable<T> task) {
     return Mono.create(
         sink -> {
           boolean taken =
               offer(
+                  rank,
                   () -> {
                     try {
                       sink.success(task.call());
@@ -305,7 +321,7 @@
    * @return time for which there is nothing to do, in milliseconds
    */
   long turn() {
-    boolean isBusy = drain(Rank.USUAL) > 0;
+    boolean isBusy = drain(Rank.READ) > 0;
     drain(Rank.FIRST);
     long now = clock.nowMillis();
     // The pause bounds the rate of ticks of a duty that always has something due.
--- /dev/null
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/CallWait.java
@@ -0,0 +1,54 @@
+package org.primrosegauge.node.scope;
+
+import org.primrosegauge.node.duty.Duty;
+import org.primrosegauge.node.scope.ScopeMessage.Question;
+
+/**
+ * Says what goes first when the leader's thread cannot answer all questions in time, and when one
+ * has waited so long that the one who asked no longer waits.
+ *
+ * <p>Words of workers and orders of operators are few, make the leader's picture true, and are
+ * taken whatever their age: a heartbeat that is left out makes its worker silent, so that it gets
+ * nothing new. Questions about the leader are cheap, and without their answers all instances look
+ * for another leader at once. Calls of callers come after these, reads of the state of jobs last.
+ *
+ * <p>Stateless.
+ */
+final class CallWait {
+
+  /** Time that an answer needs on its way, so that a refusal is read by the one who asked. */
+  private static final long WAY_BACK_MILLIS = 100;
+
+  /** Longest wait of a call or read of a caller before it is answered. */
+  static final long MOST_MILLIS = ScopeClient.TRY_MILLIS - WAY_BACK_MILLIS;
+
+  /** Pause after which a caller that was refused for its wait may come back. */
+  static final long COME_BACK_MILLIS = 1_000;
+
+  /** Why a question was given up. Each has a counter. */
+  enum GivenUp {
+    /** A call waited too long; nothing was handed to the log. */
+    STALE_CALL,
+    /** A read waited too long. */
+    STALE_READ,
+    /** The ring had no room. */
+    NO_ROOM
+  }
+
+  private CallWait() {}
+
+  /** Returns the rank of a question on the leader's thread. */
+  static Duty.Rank rankOf(Question question) {
+    if (question instanceof ScopeMessage.AskState) {
+      return Duty.Rank.READ;
+    }
+    boolean isCall =
+        question instanceof ScopeMessage.Submit || question instanceof ScopeMessage.Cancel;
+    return isCall ? Duty.Rank.CALL : Duty.Rank.USUAL;
+  }
+
+  /** Tells whether the one who asked is about to give up, or has. */
+  static boolean isStale(Question question, long waitedMillis) {
+    return rankOf(question) != Duty.Rank.USUAL && waitedMillis > MOST_MILLIS;
+  }
+}
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
@@ -36,7 +36,7 @@
   private static final Duration FIND_WAIT = Duration.ofMillis(200);
 
   /** Longest wait for one answer; a leader that takes longer is frozen or cut off. */
-  private static final long TRY_MILLIS = 600;
+  static final long TRY_MILLIS = 600;
 
   /** Part of the time that a caller waits after which an open call gets its last answer. */
   private static final double HELD_SHARE = 0.5;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -175,22 +175,33 @@
   // Main API; may be called from any thread
 
   /**
-   * Answers a question. The result never fails.
+   * Answers a question. A caller's question that waited too long is refused, and was not run. The
+   * result never fails.
    *
    * @since 0.2
    */
   public Mono<Answer> answer(Question question) {
-    return log.duty()
-        .ask(() -> answerNow(question))
+    return Mono.defer(() -> ask(question, clock.nowMillis()))
         .flatMap(later -> later)
         .onErrorResume(error -> Mono.just(answerTo(error)));
   }
 
+  private Mono<Mono<Answer>> ask(Question question, long askedMillis) {
+    return log.duty()
+        .ask(
+            CallWait.rankOf(question),
+            () -> answerNow(question, CallWait.isStale(question, clock.nowMillis() - askedMillis)));
+  }
+
   private Answer answerTo(Throwable error) {
     if (error instanceof PrimrosegaugeException known) {
+      if (known.kind() == ErrorKind.OVER_LIMIT) {
+        meters.givenUp(CallWait.GivenUp.NO_ROOM);
+      }
       return switch (known.kind()) {
         case OUTCOME_UNKNOWN -> new ScopeMessage.Unknown();
-        case OVER_LIMIT -> new ScopeMessage.Refused(ScopeRefusal.OVERLOADED);
+        case OVER_LIMIT ->
+            new ScopeMessage.Refused(ScopeRefusal.OVERLOADED, CallWait.COME_BACK_MILLIS);
         case INVALID_INPUT -> new ScopeMessage.Refused(ScopeRefusal.BAD_ID);
         default -> new ScopeMessage.NotLeader(otherLeader());
       };
@@ -206,7 +217,7 @@
 
   // Log thread: questions
 
-  private Mono<Answer> answerNow(Question question) throws InvalidInputException {
+  private Mono<Answer> answerNow(Question question, boolean isStale) throws InvalidInputException {
     boolean leads = scheduler.isInOffice() && log.isAuthoritative(clock.nowMillis());
     if (question instanceof ScopeMessage.AskLeader) {
       List<InstanceId> members =
@@ -219,11 +230,14 @@
       return Mono.just(new ScopeMessage.NotLeader(otherLeader()));
     }
     if (question instanceof ScopeMessage.Submit submit) {
-      return submit(submit);
+      return submit(submit, isStale);
     } else if (question instanceof ScopeMessage.AskState ask) {
-      return Mono.just(state(ask.address()));
+      return Mono.just(
+          isStale ? tooLate(CallWait.GivenUp.STALE_READ, ask.address()) : state(ask.address()));
     } else if (question instanceof ScopeMessage.Cancel cancel) {
-      return cancel(cancel.address());
+      return isStale
+          ? Mono.just(tooLate(CallWait.GivenUp.STALE_CALL, cancel.address()))
+          : cancel(cancel.address());
     } else if (question instanceof ScopeMessage.Configure configure) {
       return configure(configure);
     } else if (question instanceof ScopeMessage.AskConfiguration) {
@@ -243,7 +257,8 @@
     return Mono.just(new ScopeMessage.Done());
   }
 
-  private Mono<Answer> submit(ScopeMessage.Submit submit) throws InvalidInputException {
+  private Mono<Answer> submit(ScopeMessage.Submit submit, boolean isStale)
+      throws InvalidInputException {
     ScopeCalls.Check check = calls.check(submit.address());
     if (check.refusal() != null) {
       return refuse(check.refusal(), submit.address());
@@ -252,6 +267,13 @@
       return Mono.just(new ScopeMessage.Done());
     }
     ScopeJob job = calls.accept(check.admitted(), submit.job(), wallClock.nowMillis());
+    if (isStale) {
+      // The same job may be on its way into the log since an earlier try.
+      return Mono.just(
+          proposedJobs.contains(job.id())
+              ? new ScopeMessage.Unknown()
+              : tooLate(CallWait.GivenUp.STALE_CALL, submit.address()));
+    }
     OptionalLong comeBack = ScopeAdmission.comeBackMillis(job, ledger);
     // A job that was proposed a moment ago may be accepted yet: the same again is no new job.
     if (comeBack.isPresent() && !proposedJobs.contains(job.id())) {
@@ -262,6 +284,12 @@
     return propose(new ScopeCommand.Submit(job));
   }
 
+  private Answer tooLate(CallWait.GivenUp why, CallerAddress address) {
+    meters.givenUp(why);
+    events.refused(ScopeRefusal.OVERLOADED, address);
+    return new ScopeMessage.Refused(ScopeRefusal.OVERLOADED, CallWait.COME_BACK_MILLIS);
+  }
+
   private Answer state(CallerAddress address) throws InvalidInputException {
     ScopeCalls.Check check = calls.check(address);
     if (check.refusal() != null) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
@@ -19,7 +19,8 @@
 /**
  * Times and queue lengths of a scope at the instance that leads it.
  *
- * <p>Used on the log thread, except for {@link #workerAnswered}, which is thread-safe.
+ * <p>Used on the log thread, except for {@link #workerAnswered} and {@link #givenUp}, which are
+ * thread-safe.
  *
  * @since 0.3
  */
@@ -78,6 +79,15 @@
     metrics.time("primrosegauge.worker.call", call, answer, millis);
   }
 
+  /**
+   * Counts a question that the leader's thread did not come to in time.
+   *
+   * @since 0.3
+   */
+  public void givenUp(Enum<?> why) {
+    metrics.count("primrosegauge.scope.given.up", "log", why);
+  }
+
   /**
    * Notes what events of one kind have cost the scheduler.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
@@ -16,7 +16,7 @@
   UNKNOWN_JOB,
   /** The id of the job is malformed. */
   BAD_ID,
-  /** Too many proposals wait for the log. */
+  /** More waits for the leader than it can do in time; nothing was done for this call. */
   OVERLOADED,
   /** The job's turn would come when its result is worth nothing any more. */
   BACKLOG,
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/duty/DutyRankTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/duty/DutyRankTest.java
@@ -122,4 +122,17 @@
     }
     assertThat(ticks).isAtLeast(5_000 / HEARTBEAT_MILLIS);
   }
+
+  /** A flood of reads must not keep submissions and heartbeats from being taken. */
+  @Test
+  void floodOfReadsTakesNoRoomFromOthers() {
+    duty.begin();
+    while (duty.offer(Rank.READ, named("read"))) {
+      assertThat(order).isEmpty();
+    }
+    assertThat(duty.offer(Rank.CALL, named("call"))).isTrue();
+    assertThat(duty.offer(Rank.USUAL, named("heartbeat"))).isTrue();
+    duty.turn();
+    assertThat(order.subList(0, 3)).containsExactly("heartbeat", "call", "read").inOrder();
+  }
 }
