--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMeters.java
@@ -20,7 +20,8 @@
 /**
  * Times and queue lengths of a scope at the instance that leads it.
  *
- * <p>Used on the log thread, except for {@link #workerAnswered}, which is thread-safe.
+ * <p>Used on the log thread, except for {@link #workerAnswered} and {@link #givenUp}, which are
+ * thread-safe.
  *
  * @since 0.3
  */
@@ -42,7 +43,7 @@
   private final Set<JobId> queuedBefore = new HashSet<>();
   private final Map<JobId, JobStatus> openBefore = new HashMap<>();
   private long nextGaugesMillis;
-  private volatile DutyLoad.Figures threadLoad = new DutyLoad.Figures(0, 0, 0, 0, 0);
+  private volatile DutyLoad.Figures threadLoad = DutyLoad.Figures.NONE;
 
   /**
    * Creates meters in a registry.
@@ -58,6 +59,9 @@
     metrics.gauge("primrosegauge.scope.thread.waiting", () -> threadLoad.waiting());
     metrics.gauge(
         "primrosegauge.scope.thread.longest.wait.millis", () -> threadLoad.longestWaitMillis());
+    metrics.gauge(
+        "primrosegauge.scope.thread.log.longest.wait.millis",
+        () -> threadLoad.longestFirstWaitMillis());
     metrics.gauge("primrosegauge.scope.thread.busy.millis", () -> threadLoad.busyMillis());
     this.longestWait =
         MultiGauge.builder("primrosegauge.scope.waiting.longest.seconds")
@@ -76,6 +80,15 @@
     metrics.time("primrosegauge.worker.call", call, answer, millis);
   }
 
+  /**
+   * Counts a question that the leader's thread did not come to in time.
+   *
+   * @since 0.3
+   */
+  public void givenUp(Enum<?> why) {
+    metrics.count("primrosegauge.scope.given.up", "log", why);
+  }
+
   /**
    * Notes what events of one kind have cost the scheduler.
    *
