Log start: any of the initial voters may start it, not only the lowest

What callers would see: nothing is ever served. Cause: a log that was never started could be started only by the lowest of the three initial voters. If that one was killed (or lost its disk) before, it came back as "not the first start", knows of no initial voters, and no other instance was allowed to be the candidate: no leader for good. Class: a decision that hangs on one process.

Change: each initial voter may be the candidate. Safety is unchanged, as it never rested on who asks: a start needs the votes of all initial voters, each votes once a term, and a voter with a log refuses a candidate without one.

What remains: if all three seeds are killed before the log has started, nobody knows the initial voters.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/cfg/LogSettings.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/cfg/LogSettings.java
@@ -9,8 +9,8 @@
  * Settings of a replica. Immutable.
  *
  * @param self instance of the replica
- * @param initialVoters instances that start the log together; the lowest of them does so once all
- *     of them have empty data folders and answer
+ * @param initialVoters instances that start the log together; the first of them to ask does so once
+ *     all of them have empty data folders and answer
  * @param heartbeatMillis pause between heartbeats of the leader, in milliseconds
  * @param electionMinMillis shortest silence of the leader before an election, in milliseconds; also
  *     the time for which a follower that heard the leader supports no other
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Election.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Election.java
@@ -16,10 +16,10 @@
 /**
  * One candidacy: a pre-vote, then a vote.
  *
- * <p>A log that was never started is started by an election too. Its candidate is the lowest of the
- * initial voters and needs the votes of all of them. A voter with a log refuses a candidate without
- * one, so a site that lost some disks cannot start a second log; and the votes bring the storage
- * ids that the first membership records.
+ * <p>A log that was never started is started by an election too. Any of the initial voters may be
+ * its candidate, as another may have restarted and know of no initial voters; it needs the votes of
+ * all of them. A voter with a log refuses a candidate without one, so a site that lost some disks
+ * cannot start a second log; and the votes bring the storage ids that the first membership records.
  *
  * <p>Single-threaded; lives until the candidacy is won or given up.
  *
@@ -54,11 +54,7 @@
   }
 
   private static boolean isStarter(ReplicaContext context) {
-    List<InstanceId> voters = context.settings().initialVoters();
-    return voters.stream()
-        .min(InstanceId::compareTo)
-        .filter(context.self().instance()::equals)
-        .isPresent();
+    return context.settings().initialVoters().contains(context.self().instance());
   }
 
   /** Starts the pre-vote. */
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
@@ -24,8 +24,8 @@
 
   static final int ELECTION_MAX_MILLIS = 600;
 
-  private static final int HEARTBEAT_MILLIS = 50;
-  private static final int ELECTION_MIN_MILLIS = 300;
+  private static final Scale SMALL = new Scale(50, 300, ELECTION_MAX_MILLIS, 0, 10_000);
+  private static final int JOIN_MILLIS = 500;
   private static final int TICK_MILLIS = 10;
   private static final int MAX_DELAY_MILLIS = 30;
   private static final int MAX_SYNC_MILLIS = 15;
@@ -33,6 +33,22 @@
   private static final int SNAPSHOT_EVERY = 12;
   private static final double MAX_CLOCK_ERROR = 0.04;
 
+  /**
+   * Timings and size of the log.
+   *
+   * @param heartbeatMillis pause between heartbeats
+   * @param electionMinMillis shortest silence before an election
+   * @param electionMaxMillis longest such silence
+   * @param targetVoters number of voters that is kept up; 0 when only initial voters vote
+   * @param voterLossMillis silence after which a voter is replaced
+   */
+  record Scale(
+      int heartbeatMillis,
+      int electionMinMillis,
+      int electionMaxMillis,
+      int targetVoters,
+      int voterLossMillis) {}
+
   private record Event(long atMillis, long number, Runnable task) {}
 
   private record Link(int from, int to) {}
@@ -50,6 +66,7 @@
     long frozenUntil;
     long syncedAt;
     int incarnation;
+    int starts;
 
     Node(int number) {
       this.number = number;
@@ -65,6 +82,7 @@
   }
 
   private final SplittableRandom random;
+  private final Scale scale;
   private final LogOracle oracle = new LogOracle();
   private final List<Node> nodes = new ArrayList<>();
   private final List<InstanceId> initialVoters = new ArrayList<>();
@@ -81,6 +99,11 @@
   private int requestNumber;
 
   LogSimulation(int voters, int learners, long seed) {
+    this(SMALL, voters, learners, seed);
+  }
+
+  LogSimulation(Scale scale, int voters, int learners, long seed) {
+    this.scale = scale;
     this.random = new SplittableRandom(seed);
     for (int i = 0; i < voters + learners; i++) {
       nodes.add(new Node(i));
@@ -134,11 +157,8 @@
     if (node.replica != null) {
       return;
     }
-    LogSettings settings =
-        LogSettings.of(node.id, initialVoters)
-            .withTimings(HEARTBEAT_MILLIS, ELECTION_MIN_MILLIS, ELECTION_MAX_MILLIS)
-            .withTransfer(300, 900, 50, 4);
-    node.replica = new LogReplica(settings, node.disk.content(), random.split(), node.nowMillis());
+    node.replica =
+        new LogReplica(settings(node), node.disk.content(), random.split(), node.nowMillis());
     node.registry = new SimulatedRegistry(node.id, oracle);
     node.applied = 0;
     oracle.restarts(node.id);
@@ -146,7 +166,50 @@
       install(node, node.disk.snapshot());
     }
     node.incarnation++;
+    node.starts++;
     tick(node, node.incarnation);
+    if (scale.targetVoters() > 0) {
+      join(node, node.incarnation);
+    }
+  }
+
+  /** Where members are found by joining, only the first start tells who starts the log. */
+  private LogSettings settings(Node node) {
+    boolean knowsVoters = scale.targetVoters() == 0 || node.starts == 0;
+    return LogSettings.of(node.id, knowsVoters ? initialVoters : List.of())
+        .withTimings(scale.heartbeatMillis(), scale.electionMinMillis(), scale.electionMaxMillis())
+        .withTransfer(300, 900, 50, 4)
+        .withTargetVoters(scale.targetVoters(), scale.voterLossMillis());
+  }
+
+  /** A replica that is no member asks all others to be admitted, again and again. */
+  private void join(Node node, int incarnation) {
+    whenAwake(
+        node,
+        incarnation,
+        () -> {
+          ReplicaId asking = replicaId(node);
+          if (!isMember(node, asking)) {
+            nodes.forEach(other -> at(now + 1, () -> admit(node, other, asking)));
+          }
+          at(now + JOIN_MILLIS, () -> join(node, incarnation));
+        });
+  }
+
+  private static boolean isMember(Node node, ReplicaId replica) {
+    return node.replica.membership().members().stream()
+        .anyMatch(member -> member.replica().equals(replica));
+  }
+
+  private void admit(Node asking, Node other, ReplicaId replica) {
+    boolean isHeard =
+        other.replica != null
+            && other.frozenUntil <= now
+            && !cuts.contains(new Link(asking.number, other.number));
+    if (isHeard && other.replica.isLeader() && !isMember(other, replica)) {
+      MembershipChange change = new MembershipChange.AddLearner(replica);
+      perform(other, other.replica.changeMembership(change, other.nowMillis()));
+    }
   }
 
   private void wipe(Node node) {
@@ -158,6 +221,67 @@
     }
   }
 
+  /** Stops the process of an instance; with power, some of what is not synced is lost too. */
+  void crashAt(int number) {
+    crash(nodes.get(number));
+  }
+
+  /** Starts an instance that is down. */
+  void startAt(int number) {
+    start(nodes.get(number));
+  }
+
+  /** Takes the disk of an instance, whatever the others hold. */
+  void loseDisk(int number) {
+    Node node = nodes.get(number);
+    crash(node);
+    lostDisks.add(node.disk.content());
+    node.disk = newDisk();
+  }
+
+  /** Suspends an instance for a time. */
+  void freezeAt(int number, long millis) {
+    nodes.get(number).frozenUntil = now + millis;
+  }
+
+  /** Returns the numbers of the running instances that lead or believe so. */
+  List<Integer> leaders() {
+    return nodes.stream()
+        .filter(node -> node.replica != null && node.replica.isLeader())
+        .map(node -> node.number)
+        .toList();
+  }
+
+  /** Returns the numbers of the instances that vote, as the first leader sees it. */
+  List<Integer> voters() {
+    List<Integer> leaders = leaders();
+    if (leaders.isEmpty()) {
+      return List.of();
+    }
+    Membership members = nodes.get(leaders.get(0)).replica.membership();
+    return nodes.stream()
+        .filter(node -> members.isVoter(replicaId(node)))
+        .map(node -> node.number)
+        .toList();
+  }
+
+  /** Returns the last position that a leader has acknowledged. */
+  long acknowledged() {
+    return oracle.acknowledged();
+  }
+
+  /** Tells whether a leader serves reads that see all that was acknowledged. */
+  boolean isServed() {
+    return nodes.stream()
+        .filter(node -> node.replica != null && node.frozenUntil <= now)
+        .anyMatch(
+            node ->
+                node.replica
+                    .readIndex(node.nowMillis())
+                    .filter(index -> index.number() >= oracle.acknowledged())
+                    .isPresent());
+  }
+
   /** Tells whether a quorum of every membership in use or on its way keeps its disks. */
   private boolean mayLose(Node lost) {
     boolean isOpenChangeSafe =
@@ -267,7 +391,9 @@
 
   /** Proposes a command at the leader. */
   void proposeAtLeader() {
-    nodes.stream().filter(node -> node.replica.isLeader()).forEach(node -> propose(node, 1));
+    nodes.stream()
+        .filter(node -> node.replica != null && node.replica.isLeader())
+        .forEach(node -> propose(node, 1));
   }
 
   /** Describes the replicas, for the report of a failure. */
