Questions to a slow leader: the answer is awaited as long as the caller waits, and none is asked twice meanwhile

What callers saw: a leader that is behind answers after 700 ms and more. Each try was given up after 600 ms and the question sent again, so no answer ever counted: reads were refused after 1.2 s and writes ended with "no answer" after half of the caller's time, though the answers were ready; and each question cost the leader two to four. Class: a retry whose time does not follow the load (metastable overload). The check of the leader had the same fault: after 600 ms it counted as lost.

Ruled out: longer fixed times. A frozen leader has to be given up while the caller can still ask elsewhere.

Change: OpenQuestion keeps a question open where it was sent, until its answer or the end of the caller's time, and does not send it there again. What tells a slow leader from a frozen one is whether it has answered anything lately (1 s for giving up, 600 ms for looking for another). Only a silent one is given up early, with the former times. A new leader gets the question within 100 ms of being known, and the first conclusive answer counts; a refusal of the moment beside an open write is still "unknown". Pauses between tries grow and vary. The check of the leader takes late answers, and is left out while other questions are answered soon (but each 3 s for the members), which was 2 questions a second from each entry instance. Questions to the own ledger now end with the caller's time too.

Evidence: ScopeClientTest, virtual time. The former cases on frozen leaders are unchanged.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/CallWait.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/CallWait.java
@@ -5,7 +5,7 @@
 
 /**
  * Says what goes first when the leader's thread cannot answer all questions in time, and when one
- * has waited so long that the one who asked no longer waits.
+ * has waited so long that the one who asked looks for another leader, or no longer waits.
  *
  * <p>Words of workers and orders of operators are few, make the leader's picture true, and are
  * taken whatever their age: a heartbeat that is left out makes its worker silent, so that it gets
@@ -20,7 +20,7 @@
   private static final long WAY_BACK_MILLIS = 100;
 
   /** Longest wait of a call or read of a caller before it is answered. */
-  static final long MOST_MILLIS = ScopeClient.TRY_MILLIS - WAY_BACK_MILLIS;
+  static final long MOST_MILLIS = OpenQuestion.LOOK_MILLIS - WAY_BACK_MILLIS;
 
   /** Pause after which a caller that was refused for its wait may come back. */
   static final long COME_BACK_MILLIS = 1_000;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
@@ -6,9 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
-import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.InstanceId;
-import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.scope.ScopeMessage.Answer;
 import org.primrosegauge.node.scope.ScopeMessage.Question;
@@ -20,9 +18,8 @@
 /**
  * The way to the leader from any instance of a scope.
  *
- * <p>It knows the seeds and learns the members of the log from whoever answers. A question that was
- * not sent, or met an instance that does not lead, is tried elsewhere for a short time; one that
- * may have been carried out is never sent again from here.
+ * <p>It knows the seeds and learns the members of the log from whoever answers. Questions change
+ * nothing when they come twice, so one that met no leader, or a silent one, is tried elsewhere.
  *
  * <p>Thread-safe. {@link #tick} is to be called a few times a second.
  *
@@ -32,63 +29,25 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(ScopeClient.class);
   private static final Duration FIND_TIMEOUT = Duration.ofMillis(600);
-  private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
-  private static final Duration FIND_WAIT = Duration.ofMillis(200);
-
-  /** Longest wait for one answer; a leader that takes longer is frozen or cut off. */
-  static final long TRY_MILLIS = 600;
-
-  /** Part of the time that a caller waits after which an open call gets its last answer. */
-  private static final double HELD_SHARE = 0.5;
-
-  /** Time after which a question that could not be sent to any leader is refused. */
-  private static final long NOT_RUN_MILLIS = 400;
 
-  /** Time after which a read is refused that was sent and got no answer. */
-  private static final long READ_MILLIS = 1_200;
+  /** Longest wait for the answer of a leader that is behind. */
+  private static final Duration CONTACT_TIMEOUT = Duration.ofMillis(3_000);
 
+  private static final Duration FIND_WAIT = Duration.ofMillis(200);
   private static final long CHECK_MILLIS = 500;
   private static final long CONTACT_MILLIS = 1_500;
 
-  /** How far a question has got. */
-  private enum Progress {
-    /** No leader has it. */
-    NOT_SENT,
-    /** A leader may have it, but it changes nothing. */
-    READ_UNANSWERED,
-    /** It may have been carried out, so that a refusal would not be true. */
-    MAY_HAVE_RUN;
-
-    Progress or(Progress other) {
-      return compareTo(other) >= 0 ? this : other;
-    }
-  }
+  /** Pause after which the leader is asked for the members though it answers other questions. */
+  private static final long MEMBERS_MILLIS = 3_000;
 
   /**
-   * A question on its way.
+   * Latest answer of a leader.
    *
-   * @param question question
-   * @param sinceMillis when it was asked
-   * @param endMillis when the one who asks waits no longer
+   * @param leader who answered
+   * @param atMillis when
+   * @param tookMillis time from the question to the answer
    */
-  private record Call(Question question, long sinceMillis, long endMillis) {
-
-    Progress unanswered() {
-      return question.changesNothing() ? Progress.READ_UNANSWERED : Progress.MAY_HAVE_RUN;
-    }
-
-    long giveUpMillis(Progress progress) {
-      long own =
-          switch (progress) {
-            case NOT_SENT -> sinceMillis + NOT_RUN_MILLIS;
-            case READ_UNANSWERED -> sinceMillis + READ_MILLIS;
-            case MAY_HAVE_RUN -> sinceMillis + (long) (HELD_SHARE * (endMillis - sinceMillis));
-          };
-      return Math.min(own, endMillis);
-    }
-  }
-
-  private record Contact(InstanceId leader, long atMillis) {}
+  private record Contact(InstanceId leader, long atMillis, long tookMillis) {}
 
   private final InstanceId self;
   private final QuestionSender sender;
@@ -96,10 +55,12 @@
   private final AtomicReference<Set<InstanceId>> seeds = new AtomicReference<>(Set.of());
   private final AtomicReference<Set<InstanceId>> members = new AtomicReference<>(Set.of());
   private volatile ScopeDuty own;
-  private volatile Contact contact = new Contact(null, Long.MIN_VALUE / 2);
+  private volatile Contact contact = new Contact(null, Long.MIN_VALUE / 2, 0);
   private volatile InstanceId leader;
   private volatile long nextCheckMillis = Long.MIN_VALUE;
+  private volatile long nextMembersMillis = Long.MIN_VALUE;
   private volatile boolean wasInContact;
+  private final OpenQuestion.Route route = new LeaderRoute();
 
   /**
    * Creates the client.
@@ -177,80 +138,7 @@
    * @since 0.2
    */
   public Mono<Answer> ask(Question question, Duration timeout) {
-    return Mono.defer(
-        () -> {
-          long now = clock.nowMillis();
-          return ask(new Call(question, now, now + timeout.toMillis()), Progress.NOT_SENT);
-        });
-  }
-
-  /** Asks until there is an answer or the time is over. */
-  private Mono<Answer> ask(Call call, Progress progress) {
-    return Mono.defer(() -> askOnce(call))
-        .flatMap(
-            answer -> {
-              if (answer instanceof ScopeMessage.NotLeader refused) {
-                noteLeader(refused.leader());
-                return again(call, progress);
-              }
-              return answer instanceof ScopeMessage.Unknown
-                  ? again(call, progress.or(call.unanswered()))
-                  : Mono.just(truthful(answer, progress));
-            })
-        .onErrorResume(
-            error -> {
-              LOG.debug("asking {} failed: {}", leader, error.getMessage());
-              leader = null;
-              boolean wasSent = !ScopeDuty.isUnavailable(error);
-              return again(call, wasSent ? progress.or(call.unanswered()) : progress);
-            });
-  }
-
-  /** An earlier try that is still under way may yet be accepted where a later one is refused. */
-  private static Answer truthful(Answer answer, Progress progress) {
-    boolean isOpen =
-        progress == Progress.MAY_HAVE_RUN
-            && answer instanceof ScopeMessage.Refused refused
-            && refused.reason().isOfTheMoment();
-    return isOpen ? new ScopeMessage.Unknown() : answer;
-  }
-
-  /**
-   * Questions change nothing when they come twice, so one that may have been done is sent again.
-   */
-  private Mono<Answer> again(Call call, Progress progress) {
-    if (clock.nowMillis() + RETRY_PAUSE.toMillis() >= call.giveUpMillis(progress)) {
-      return Mono.just(
-          progress == Progress.MAY_HAVE_RUN
-              ? new ScopeMessage.Unknown()
-              : new ScopeMessage.Refused(ScopeRefusal.NO_LEADER));
-    }
-    Mono<Void> found = leader == null ? find() : Mono.empty();
-    return found
-        .timeout(FIND_WAIT, Mono.empty())
-        .then(Mono.delay(RETRY_PAUSE))
-        .then(Mono.defer(() -> ask(call, progress)));
-  }
-
-  private Mono<Answer> askOnce(Call call) {
-    InstanceId asked = leader;
-    if (asked == null) {
-      return Mono.error(noLeader());
-    }
-    ScopeDuty ledger = own;
-    if (ledger != null && asked.equals(self)) {
-      return ledger.answer(call.question());
-    }
-    long left = Math.max(1, call.giveUpMillis(call.unanswered()) - clock.nowMillis());
-    Duration wait = Duration.ofMillis(Math.min(left, TRY_MILLIS));
-    return sender
-        .ask(asked, call.question(), wait)
-        .doOnNext(
-            answer -> {
-              if (!(answer instanceof ScopeMessage.NotLeader)) {
-                reached(asked);
-              }
-            });
+    return Mono.defer(() -> new OpenQuestion(route, clock, question, timeout).answer());
   }
 
   /**
@@ -265,7 +153,7 @@
     }
     if (nowMillis >= nextCheckMillis) {
       nextCheckMillis = nowMillis + CHECK_MILLIS;
-      check();
+      checkIfSilent(nowMillis);
     }
     noteContact(nowMillis);
   }
@@ -278,31 +166,47 @@
     }
   }
 
+  /** Who answers other questions soon need not be asked whether it leads, but for the members. */
+  private void checkIfSilent(long nowMillis) {
+    Contact last = contact;
+    boolean isReached =
+        last.leader() != null
+            && last.leader().equals(leader)
+            && nowMillis - last.atMillis() < CHECK_MILLIS
+            && last.tookMillis() < CHECK_MILLIS;
+    if (!isReached || nowMillis >= nextMembersMillis) {
+      nextMembersMillis = nowMillis + MEMBERS_MILLIS;
+      check();
+    }
+  }
+
   private void check() {
     InstanceId asked = leader;
     if (asked == null) {
       find().subscribe();
       return;
     }
-    askLeader(asked)
-        .subscribe(
-            answer -> {},
-            error -> {
-              if (asked.equals(leader)) {
-                leader = null;
-                find().subscribe();
-              }
-            });
+    // A late answer still shows that the leader is slow, not gone.
+    long since = clock.nowMillis();
+    askLeader(asked, CONTACT_TIMEOUT).subscribe(answer -> {}, error -> lookElsewhere(asked, since));
+    Mono.delay(FIND_TIMEOUT).subscribe(passed -> lookElsewhere(asked, since));
+  }
+
+  private void lookElsewhere(InstanceId asked, long sinceMillis) {
+    if (asked.equals(leader) && !route.hasAnsweredSince(asked, sinceMillis)) {
+      leader = null;
+      find().subscribe();
+    }
   }
 
   /** Asks all known instances at once; completes with the first that leads, or empty. */
   private Mono<Void> find() {
     List<Mono<ScopeMessage.Leader>> asked = new ArrayList<>();
     for (InstanceId instance : known()) {
-      asked.add(askLeader(instance).onErrorResume(error -> Mono.empty()));
+      asked.add(askLeader(instance, FIND_TIMEOUT).onErrorResume(error -> Mono.empty()));
     }
     if (own != null) {
-      asked.add(askLeader(self).onErrorResume(error -> Mono.empty()));
+      asked.add(askLeader(self, FIND_TIMEOUT).onErrorResume(error -> Mono.empty()));
     }
     return Flux.merge(asked)
         .filter(answer -> answer.isAuthoritative() || answer.leader() != null)
@@ -310,21 +214,24 @@
         .then();
   }
 
-  private Mono<ScopeMessage.Leader> askLeader(InstanceId instance) {
+  private Mono<ScopeMessage.Leader> askLeader(InstanceId instance, Duration timeout) {
     ScopeDuty ledger = own;
     Mono<Answer> answer =
         ledger != null && instance.equals(self)
             ? ledger.answer(new ScopeMessage.AskLeader())
-            : sender.ask(instance, new ScopeMessage.AskLeader(), FIND_TIMEOUT);
-    return answer.ofType(ScopeMessage.Leader.class).doOnNext(found -> learned(instance, found));
+            : sender.ask(instance, new ScopeMessage.AskLeader(), timeout);
+    long asked = clock.nowMillis();
+    return answer
+        .ofType(ScopeMessage.Leader.class)
+        .doOnNext(found -> learned(instance, found, asked));
   }
 
-  private void learned(InstanceId from, ScopeMessage.Leader found) {
+  private void learned(InstanceId from, ScopeMessage.Leader found, long askedMillis) {
     if (!found.members().isEmpty()) {
       members.set(Set.copyOf(found.members()));
     }
     if (found.isAuthoritative()) {
-      reached(from);
+      reached(from, askedMillis);
     } else if (from.equals(leader)) {
       noteLeader(from.equals(found.leader()) ? null : found.leader());
     } else if (leader == null) {
@@ -332,9 +239,10 @@
     }
   }
 
-  private void reached(InstanceId from) {
+  private void reached(InstanceId from, long askedMillis) {
+    long now = clock.nowMillis();
     leader = from;
-    contact = new Contact(from, clock.nowMillis());
+    contact = new Contact(from, now, now - askedMillis);
   }
 
   private void noteLeader(InstanceId found) {
@@ -343,8 +251,54 @@
     }
   }
 
-  private static PrimrosegaugeException noLeader() {
-    return new PrimrosegaugeException(
-        ErrorKind.UNAVAILABLE, "no leader is known", "come back in a second", "");
+  /** The way of the open questions. */
+  private final class LeaderRoute implements OpenQuestion.Route {
+
+    @Override
+    public InstanceId leader() {
+      return leader;
+    }
+
+    @Override
+    public Mono<Answer> ask(InstanceId instance, Question question, Duration wait) {
+      ScopeDuty ledger = own;
+      if (ledger != null && instance.equals(self)) {
+        return ledger.answer(question);
+      }
+      long asked = clock.nowMillis();
+      return sender
+          .ask(instance, question, wait)
+          .doOnNext(
+              answer -> {
+                if (!(answer instanceof ScopeMessage.NotLeader)) {
+                  reached(instance, asked);
+                }
+              });
+    }
+
+    @Override
+    public Mono<Void> find() {
+      return ScopeClient.this.find().timeout(FIND_WAIT, Mono.empty());
+    }
+
+    @Override
+    public void named(InstanceId named) {
+      noteLeader(named);
+    }
+
+    @Override
+    public void failed(InstanceId instance) {
+      if (instance.equals(leader)) {
+        LOG.debug("{} does not answer", instance);
+        leader = null;
+      }
+    }
+
+    @Override
+    public boolean hasAnsweredSince(InstanceId instance, long sinceMillis) {
+      Contact last = contact;
+      boolean isContact = instance.equals(last.leader()) && last.atMillis() > sinceMillis;
+      return isContact || instance.equals(self);
+    }
   }
 }
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
@@ -3,13 +3,16 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.primrosegauge.core.ErrorKind;
@@ -39,6 +42,9 @@
   private VirtualTimeScheduler time;
   private InstanceId leader;
   private InstanceId frozen;
+  private InstanceId slow;
+  private long slowMillis;
+  private final Map<Class<?>, Integer> asked = new HashMap<>();
   private Answer writes = new ScopeMessage.Done();
 
   @BeforeEach
@@ -58,9 +64,20 @@
 
   /** Instances that answer at once, but for one that is frozen. */
   private Mono<Answer> ask(InstanceId to, Question question, Duration timeout) {
+    asked.merge(question.getClass(), 1, Integer::sum);
+    if (to.equals(slow)) {
+      Duration delay = Duration.ofMillis(slowMillis);
+      return delay.compareTo(timeout) < 0
+          ? Mono.delay(delay).flatMap(passed -> answerOf(to, question))
+          : Mono.delay(timeout).then(Mono.error(error(ErrorKind.OUTCOME_UNKNOWN)));
+    }
     if (to.equals(frozen)) {
       return Mono.delay(timeout).then(Mono.error(error(ErrorKind.OUTCOME_UNKNOWN)));
     }
+    return answerOf(to, question);
+  }
+
+  private Mono<Answer> answerOf(InstanceId to, Question question) {
     if (question instanceof ScopeMessage.AskLeader) {
       List<InstanceId> all = List.of(FIRST, SECOND);
       return Mono.just(new ScopeMessage.Leader(leader, all, all, to.equals(leader)));
@@ -147,4 +164,78 @@
     Answer answer = answerWithin(client, WRITE, 500);
     assertThat(answer).isEqualTo(new ScopeMessage.Refused(ScopeRefusal.NO_LEADER));
   }
+
+  /** Lets time pass with the client's checks, as its process does. */
+  private void tickFor(ScopeClient client, long millis) {
+    for (long at = 0; at < millis; at += 50) {
+      time.advanceTimeBy(Duration.ofMillis(50));
+      client.tick(now());
+    }
+  }
+
+  private AtomicReference<Answer> askSlowLeader(
+      ScopeClient client, Question question, long delayMillis) {
+    slow = FIRST;
+    slowMillis = delayMillis;
+    // The leader has been as slow for a while, so it answers earlier questions meanwhile.
+    tickFor(client, 2 * delayMillis);
+    asked.clear();
+    AtomicReference<Answer> answer = new AtomicReference<>();
+    client.ask(question, PATIENCE).subscribe(answer::set);
+    return answer;
+  }
+
+  /** Guards against answers that are ready in the caller's time and given up before. */
+  @ParameterizedTest
+  @CsvSource({"700, false", "700, true", "1500, false", "1500, true", "2400, true"})
+  void answerOfSlowLeaderInTheCallersTimeIsDelivered(long delayMillis, boolean isWrite) {
+    ScopeClient client = clientThatKnowsTheLeader();
+    AtomicReference<Answer> answer = askSlowLeader(client, isWrite ? WRITE : READ, delayMillis);
+    tickFor(client, delayMillis + 50);
+    assertThat(answer.get()).isInstanceOf(ScopeMessage.Done.class);
+  }
+
+  /** Guards against retries that multiply the load of a leader that is behind already. */
+  @Test
+  void questionIsNotSentAgainWhileItIsOpen() {
+    ScopeClient client = clientThatKnowsTheLeader();
+    askSlowLeader(client, WRITE, 2_400);
+    tickFor(client, 2_450);
+    assertThat(asked.get(WRITE.getClass())).isEqualTo(1);
+  }
+
+  /** Guards against a question that stays with a silent leader when the next is known late. */
+  @Test
+  void questionFollowsTheLeaderThatIsElectedLater() {
+    ScopeClient client = clientThatKnowsTheLeader();
+    frozen = FIRST;
+    AtomicReference<Answer> answer = new AtomicReference<>();
+    client.ask(WRITE, PATIENCE).subscribe(answer::set);
+    tickFor(client, 1_000);
+    leader = SECOND;
+    tickFor(client, 400);
+    assertThat(answer.get()).isInstanceOf(ScopeMessage.Done.class);
+  }
+
+  /** Guards against an open question that outlives the one who asked. */
+  @Test
+  void questionToSlowLeaderEndsWithTheCallersTime() {
+    ScopeClient client = clientThatKnowsTheLeader();
+    AtomicReference<Answer> answer = askSlowLeader(client, WRITE, 900);
+    slowMillis = 60_000;
+    tickFor(client, PATIENCE.toMillis());
+    assertThat(answer.get()).isNotNull();
+  }
+
+  /** Guards against checks of all entry instances that fill the ring of a busy leader. */
+  @Test
+  void leaderThatAnswersQuestionsIsRarelyAskedWhetherItLeads() {
+    ScopeClient client = clientThatKnowsTheLeader();
+    asked.clear();
+    for (long at = 0; at < 9_000; at += 100) {
+      client.ask(READ, PATIENCE).subscribe();
+      tickFor(client, 100);
+    }
+    assertThat(asked.get(ScopeMessage.AskLeader.class)).isAtMost(3);
+  }
 }
