Way to the leader: a call at the leader's own instance ends in time as well

What callers saw: a request without an answer, where it comes in at the instance that leads: workers' heartbeats and operators' orders go there.

Ruled out: the server's own limits; none is set on these paths.

Change: both ways have the same limit and the same outcome, unknown for what may have run.

Evidence: the test holds the leader's thread; without the limit the call had no answer after 30 s, with it the call ends as unknown within its caller's time.

Why it works: the limit is kept by a timer that does not need the thread that stands still.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
@@ -237,12 +237,12 @@
     if (asked == null) {
       return Mono.error(noLeader());
     }
+    long left = Math.max(1, call.giveUpMillis(call.unanswered()) - clock.nowMillis());
+    Duration wait = Duration.ofMillis(Math.min(left, TRY_MILLIS));
     ScopeDuty ledger = own;
     if (ledger != null && asked.equals(self)) {
-      return ledger.answer(call.question());
+      return ledger.answer(call.question()).timeout(wait, Mono.error(noAnswer()));
     }
-    long left = Math.max(1, call.giveUpMillis(call.unanswered()) - clock.nowMillis());
-    Duration wait = Duration.ofMillis(Math.min(left, TRY_MILLIS));
     return sender
         .ask(asked, call.question(), wait)
         .doOnNext(
@@ -343,6 +343,14 @@
     }
   }
 
+  private static PrimrosegaugeException noAnswer() {
+    return new PrimrosegaugeException(
+        ErrorKind.OUTCOME_UNKNOWN,
+        "the leader did not answer in time",
+        "ask for the outcome, or send the same request again",
+        "");
+  }
+
   private static PrimrosegaugeException noLeader() {
     return new PrimrosegaugeException(
         ErrorKind.UNAVAILABLE, "no leader is known", "come back in a second", "");
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/StaleCallTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/StaleCallTest.java
@@ -57,6 +57,7 @@
   private static final InstanceId SELF = new InstanceId("a");
   private static final ServiceId POOL = new ServiceId("pool");
   private static final Duration PATIENCE = Duration.ofSeconds(30);
+  private static final Duration CALLER_WAIT = Duration.ofMillis(2_000);
   private static final long TOO_LONG_MILLIS = CallWait.MOST_MILLIS + 1;
   private static final long LOOK_PAUSE_MILLIS = 200;
   private static final CallerAddress JOB = new CallerAddress("host", "/q/00aa", null);
@@ -279,4 +280,20 @@
     assertThat(answerAfterTooLong(new ScopeMessage.WorkerLeft(new TargetId("w2"))))
         .isEqualTo(new ScopeMessage.Done());
   }
+
+  /** A leader whose thread stands still must not leave the callers of its own instance waiting. */
+  @Test
+  void callerOfTheLeadersOwnInstanceGetsAnAnswerFromStandingLeader() {
+    ScopeClient client =
+        new ScopeClient(SELF, (to, question, wait) -> Mono.never(), this::now, List.of());
+    client.attach(duty);
+    client.tick(now());
+    assertThat(client.leader()).isEqualTo(SELF);
+    thread.close();
+    skipped.addAndGet(LOOK_PAUSE_MILLIS);
+    thread.awaitVisitor();
+    Answer answer = client.ask(submission(), CALLER_WAIT).block(PATIENCE);
+    thread.open();
+    assertThat(answer).isInstanceOf(ScopeMessage.Unknown.class);
+  }
 }
