Emulated leader whose events take time: a failing load of 246 workers

Callers and workers saw the leader's thread fall behind at 246 workers: heartbeats and calls timed out, leases lapsed. The emulator of a scope took no time for decisions, so no test could show it.

All that the leader learns (commits, answers, heartbeats, ticks, callers' questions) now goes through one emulated thread. It is off unless a cost is given. Answers that wait longer than their sender does are counted; they still reach the scheduler as they are, because the node's time-outs end before the ring of its thread. A worker whose heartbeat is not acknowledged sends the next one at once.

The emulated gangs keep an index of their members: looking for each member on each worker took most of the test's time.

--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedGangs.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedGangs.java
@@ -20,10 +20,28 @@
   private final EmulatedScope scope;
   private final Map<StepKey, Integer> wholeAttempt = new HashMap<>();
 
+  /** Runs that are there, by step, with their workers. */
+  private final Map<StepKey, Map<RunId, EmulatedWorker>> there = new HashMap<>();
+
   EmulatedGangs(EmulatedScope scope) {
     this.scope = scope;
   }
 
+  /** Notes that a run is there. */
+  void began(EmulatedWorker.Run run, EmulatedWorker worker) {
+    there.computeIfAbsent(run.id.task().stepKey(), step -> new HashMap<>()).put(run.id, worker);
+  }
+
+  /** Notes that a run is there no more. */
+  void gone(EmulatedWorker.Run run) {
+    there.computeIfPresent(
+        run.id.task().stepKey(),
+        (step, runs) -> {
+          runs.remove(run.id);
+          return runs.isEmpty() ? null : runs;
+        });
+  }
+
   /** Tells whether all members of a run's gang are there now, and remembers it. */
   boolean isWhole(EmulatedWorker.Run run) {
     boolean isWhole = members(run).allMatch(this::isThere);
@@ -47,10 +65,9 @@
     members(run)
         .forEach(
             id -> {
-              for (EmulatedWorker worker : scope.workers.values()) {
-                if (worker.runs.containsKey(id)) {
-                  worker.end(worker.runs.get(id), RunOutcome.DONE);
-                }
+              EmulatedWorker worker = runsOf(id.task().stepKey()).get(id);
+              if (worker != null) {
+                worker.end(worker.runs.get(id), RunOutcome.DONE);
               }
             });
   }
@@ -63,15 +80,16 @@
   }
 
   private boolean hasMemberElsewhere(EmulatedWorker.Run run, String rack) {
-    StepKey step = run.id.task().stepKey();
-    return scope.workers.values().stream()
-        .filter(worker -> !worker.info.rack().equals(rack))
-        .flatMap(worker -> worker.runs.keySet().stream())
-        .anyMatch(other -> other.task().stepKey().equals(step));
+    return runsOf(run.id.task().stepKey()).values().stream()
+        .anyMatch(worker -> !worker.info.rack().equals(rack));
   }
 
   private boolean isThere(RunId id) {
-    return scope.workers.values().stream().anyMatch(worker -> worker.runs.containsKey(id));
+    return runsOf(id.task().stepKey()).containsKey(id);
+  }
+
+  private Map<RunId, EmulatedWorker> runsOf(StepKey step) {
+    return there.getOrDefault(step, Map.of());
   }
 
   /** Returns the runs of a gang's members, or the run alone where it is no gang. */
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -11,7 +11,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.FailureDomainId;
@@ -45,6 +44,7 @@
 import org.primrosegauge.core.scope.TaskKey;
 import org.primrosegauge.core.scope.WorkerInfo;
 import org.primrosegauge.core.scope.WorkerKey;
+import org.primrosegauge.core.scope.WorkerStatus;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
 
 /**
@@ -67,6 +67,10 @@
 
   private static final long ANSWER_TIMEOUT_MILLIS = 500;
   private static final long HEARTBEAT_MILLIS = 1_500;
+
+  /** Interval of the tick of a thread whose events take time. */
+  private static final long TICK_MILLIS = 50;
+
   private static final long RETENTION_MILLIS = 1_000_000;
   private static final int MAX_ATTEMPTS = 3;
   static final ServiceId POOL = new ServiceId("pool");
@@ -75,12 +79,19 @@
 
   private record Proposal(ScopeCommand command, long number) {}
 
+  /** Something that the leader learns, as a call of its scheduler. */
+  @FunctionalInterface
+  private interface Event {
+    List<ScopeAction> handTo(ScopeScheduler leader, Present present);
+  }
+
   private final Random random;
   private final List<Proposal> proposals = new ArrayList<>();
   private final Timeline timeline = new Timeline();
   private final EmulatedFleet fleet;
   final Map<String, EmulatedWorker> workers = new LinkedHashMap<>();
   private final Map<WorkerKey, Long> nextBeat = new HashMap<>();
+  private final Map<WorkerKey, Long> heard = new HashMap<>();
   private final Map<Waiting, ScopeAction.Look> waiting = new LinkedHashMap<>();
   private final Set<String> cut = new HashSet<>();
   private final Set<String> refusing = new HashSet<>();
@@ -92,11 +103,14 @@
   final EmulatedGangs gangs = new EmulatedGangs(this);
   final WorkMeter meter = new WorkMeter();
   final ScopeLedger ledger = new ScopeLedger(RETENTION_MILLIS);
+  private final EventCost cost;
+  private final EmulatedThread thread;
   private ScopeScheduler scheduler;
   private int epoch;
   private long term;
   long now = 10_000;
   private long proposed;
+  private int lostBeats;
   double lostAnswers;
   double lateOrders;
   boolean isCalm = true;
@@ -112,8 +126,20 @@
    * @since 0.3
    */
   public EmulatedScope(long seed, EmulatedFleet fleet, ScopeConfiguration configuration) {
+    this(seed, fleet, configuration, EventCost.NONE);
+  }
+
+  /**
+   * Creates a scope whose workers start at once, and whose leader takes time for what it does.
+   *
+   * @since 0.3
+   */
+  public EmulatedScope(
+      long seed, EmulatedFleet fleet, ScopeConfiguration configuration, EventCost cost) {
     this.random = new Random(seed);
     this.fleet = fleet;
+    this.cost = cost;
+    this.thread = new EmulatedThread(cost, this::examined, this::at);
     this.ledger.apply(new ScopeCommand.Configure(configuration, "text"));
     for (int i = 0; i < fleet.workers(); i++) {
       startWorker("w" + i, i);
@@ -173,6 +199,7 @@
       return;
     }
     for (EmulatedWorker.Run run : worker.runs.values()) {
+      gangs.gone(run);
       checker.gone(run, RunOutcome.WORKER_LOST);
     }
     int number = Integer.parseInt(name.substring(1));
@@ -261,7 +288,9 @@
     term++;
     scheduler = new ScopeScheduler(ledger, ScopeSettings.DEFAULT);
     waiting.keySet().removeIf(each -> each.epoch() != epoch);
-    perform(scheduler.takeOffice(new Term(term), present()));
+    thread.restart(now);
+    Term begun = new Term(term);
+    tell(EventKind.OFFICE, (leader, present) -> leader.takeOffice(begun, present));
   }
 
   /**
@@ -272,6 +301,7 @@
   public void loseLeader(long forMillis) {
     epoch++;
     scheduler = null;
+    thread.restart(now);
     at(now + forMillis, this::changeLeader);
   }
 
@@ -287,6 +317,29 @@
     }
   }
 
+  private long examined() {
+    return scheduler == null ? 0 : scheduler.examined();
+  }
+
+  /** Hands an event to the leader on its thread. */
+  private void tell(EventKind kind, Event event) {
+    thread.offer(kind, now, () -> decide(event));
+  }
+
+  /** Lets the leader decide on an event; its actions follow once the event has been handled. */
+  private Runnable decide(Event event) {
+    if (scheduler == null) {
+      return () -> {};
+    }
+    int decidedIn = epoch;
+    List<ScopeAction> actions = event.handTo(scheduler, present());
+    return () -> {
+      if (decidedIn == epoch) {
+        perform(actions);
+      }
+    };
+  }
+
   private void perform(List<ScopeAction> actions) {
     for (ScopeAction action : actions) {
       trace("action", action);
@@ -310,33 +363,31 @@
     proposals.add(proposal);
     at(
         now + COMMIT_MILLIS,
-        () -> {
-          if (proposals.remove(proposal)) {
-            commit(command);
-          }
-        });
+        () ->
+            thread.offer(
+                EventKind.COMMIT,
+                now,
+                () -> proposals.remove(proposal) ? commit(command) : () -> {}));
   }
 
   /** A new leader finds some of what was proposed before in its log; the rest never happens. */
   private void settleProposals() {
     for (Proposal proposal : List.copyOf(proposals)) {
       if (random.nextBoolean()) {
-        commit(proposal.command());
+        commit(proposal.command()).run();
       }
     }
     proposals.clear();
   }
 
-  private void commit(ScopeCommand command) {
+  private Runnable commit(ScopeCommand command) {
     trace("commit", command);
     ScopeResult result = ledger.apply(command);
     if (command instanceof ScopeCommand.Cancel cancel && result == ScopeResult.APPLIED) {
       checker.cancelled(cancel.job());
     }
     noteFinished(command);
-    if (scheduler != null) {
-      perform(scheduler.applied(command, present()));
-    }
+    return decide((leader, present) -> leader.applied(command, present));
   }
 
   private void noteFinished(ScopeCommand command) {
@@ -371,34 +422,38 @@
     return cut.contains(name) ? null : workers.get(name);
   }
 
-  private void answer(int sentIn, boolean isAnswered, Consumer<ScopeScheduler> event) {
+  private void answer(EventKind kind, int sentIn, boolean isAnswered, Event event) {
     long delay = !isAnswered ? ANSWER_TIMEOUT_MILLIS : 1 + random.nextInt(4);
-    at(
-        now + delay,
-        () -> {
-          if (scheduler != null && sentIn == epoch) {
-            event.accept(scheduler);
-          }
-        });
+    at(now + delay, () -> tellIfLeading(kind, sentIn, event));
   }
 
-  private void startLost(ScopeAction.Start order, int sentIn) {
+  /** Hands an answer to the leader that has asked, if it still leads. */
+  private void tellIfLeading(EventKind kind, int sentIn, Event event) {
     if (sentIn == epoch && scheduler != null) {
-      perform(scheduler.startAnswered(order.run(), StartAnswer.NO_ANSWER, 0, present()));
+      tell(kind, event);
     }
   }
 
+  private void startLost(ScopeAction.Start order, int sentIn) {
+    tellIfLeading(
+        EventKind.ORDER,
+        sentIn,
+        (leader, present) -> leader.startAnswered(order.run(), StartAnswer.NO_ANSWER, 0, present));
+  }
+
   private void stopLost(ScopeAction.Stop order, int sentIn) {
-    if (sentIn == epoch && scheduler != null) {
-      perform(scheduler.stopAnswered(order.run(), StopAnswer.NO_ANSWER, present()));
-    }
+    tellIfLeading(
+        EventKind.ORDER,
+        sentIn,
+        (leader, present) -> leader.stopAnswered(order.run(), StopAnswer.NO_ANSWER, present));
   }
 
   private void lookLost(ScopeAction.Look order, int sentIn) {
-    if (sentIn == epoch && scheduler != null) {
-      LookAnswer none = LookAnswer.without(LookAnswer.Kind.NO_ANSWER);
-      perform(scheduler.lookAnswered(order.worker(), none, present()));
-    }
+    LookAnswer none = LookAnswer.without(LookAnswer.Kind.NO_ANSWER);
+    tellIfLeading(
+        EventKind.LOOK,
+        sentIn,
+        (leader, present) -> leader.lookAnswered(order.worker(), none, present));
   }
 
   private void answerStart(ScopeAction.Start order, int sentIn) {
@@ -407,15 +462,15 @@
     long clock = worker == null ? 0 : worker.clock(now);
     boolean isAnswered = worker != null && random.nextDouble() >= lostAnswers;
     answer(
+        EventKind.ORDER,
         sentIn,
         isAnswered,
-        leader ->
-            perform(
-                leader.startAnswered(
-                    order.run(),
-                    isAnswered ? answer : StartAnswer.NO_ANSWER,
-                    isAnswered ? clock : 0,
-                    present())));
+        (leader, present) ->
+            leader.startAnswered(
+                order.run(),
+                isAnswered ? answer : StartAnswer.NO_ANSWER,
+                isAnswered ? clock : 0,
+                present));
   }
 
   private void answerStop(ScopeAction.Stop order, int sentIn) {
@@ -423,12 +478,11 @@
     StopAnswer answer = worker == null ? StopAnswer.NO_ANSWER : worker.stop(order, now);
     boolean isAnswered = worker != null && random.nextDouble() >= lostAnswers;
     answer(
+        EventKind.ORDER,
         sentIn,
         isAnswered,
-        leader ->
-            perform(
-                leader.stopAnswered(
-                    order.run(), isAnswered ? answer : StopAnswer.NO_ANSWER, present())));
+        (leader, present) ->
+            leader.stopAnswered(order.run(), isAnswered ? answer : StopAnswer.NO_ANSWER, present));
   }
 
   private void receiveLook(ScopeAction.Look order, int sentIn) {
@@ -451,14 +505,14 @@
     boolean isAnswered =
         answer.kind() != LookAnswer.Kind.NO_ANSWER && random.nextDouble() >= lostAnswers;
     answer(
+        EventKind.LOOK,
         sentIn,
         isAnswered,
-        leader ->
-            perform(
-                leader.lookAnswered(
-                    order.worker(),
-                    isAnswered ? answer : LookAnswer.without(LookAnswer.Kind.NO_ANSWER),
-                    present())));
+        (leader, present) ->
+            leader.lookAnswered(
+                order.worker(),
+                isAnswered ? answer : LookAnswer.without(LookAnswer.Kind.NO_ANSWER),
+                present));
   }
 
   private void answerWaiting() {
@@ -509,11 +563,15 @@
   /** A caller hands its job in again until it is accepted. */
   private void handIn(ScopeJob job) {
     if (ledger.job(job.id()).isEmpty()) {
-      propose(new ScopeCommand.Submit(job));
+      ask(new ScopeCommand.Submit(job));
       at(now + 1_000, () -> handIn(job));
     }
   }
 
+  private void ask(ScopeCommand command) {
+    thread.offer(EventKind.QUESTION, now, () -> () -> propose(command));
+  }
+
   /**
    * Makes every run of a job fail.
    *
@@ -529,11 +587,11 @@
    * @since 0.3
    */
   public void cancel(String id) {
-    propose(new ScopeCommand.Cancel(new JobId(id), now));
+    ask(new ScopeCommand.Cancel(new JobId(id), now));
   }
 
   void switchDomain(String domain, boolean out) {
-    propose(new ScopeCommand.SwitchDomain(new FailureDomainId(domain), out));
+    ask(new ScopeCommand.SwitchDomain(new FailureDomainId(domain), out));
   }
 
   JobStatus statusOf(String id) {
@@ -612,6 +670,33 @@
     return meter;
   }
 
+  /**
+   * Returns what was seen of the leader's thread so far; nothing when events take no time.
+   *
+   * @since 0.3
+   */
+  public ThreadFigures threadFigures() {
+    return thread.figures(now);
+  }
+
+  /**
+   * Returns how many heartbeats were not acknowledged in time.
+   *
+   * @since 0.3
+   */
+  public int lostHeartbeats() {
+    return lostBeats;
+  }
+
+  /**
+   * Returns how many runs have ended in a way.
+   *
+   * @since 0.3
+   */
+  public int runsEnded(RunOutcome outcome) {
+    return checker.counts.getOrDefault(outcome, 0);
+  }
+
   /**
    * Returns what was seen that must not happen.
    *
@@ -648,9 +733,15 @@
         worker.advance(now, STEP_MILLIS);
       }
       answerWaiting();
-      if (scheduler != null) {
-        perform(scheduler.tick(present()));
-      }
+      tick();
+      thread.runUntil(now);
+    }
+  }
+
+  private void tick() {
+    boolean isDue = cost.isNone() || now % TICK_MILLIS == 0;
+    if (isDue && !thread.hasWaiting(EventKind.TICK)) {
+      tell(EventKind.TICK, ScopeScheduler::tick);
     }
   }
 
@@ -659,7 +750,22 @@
     boolean isDue = now >= nextBeat.getOrDefault(key, 0L);
     if (isDue && scheduler != null && !cut.contains(key.target().value())) {
       nextBeat.put(key, now + HEARTBEAT_MILLIS);
-      perform(scheduler.workerReported(worker.status(now), present()));
+      WorkerStatus status = worker.status(now);
+      at(now + EventKind.HEARTBEAT.patienceMillis(), () -> beatAgainIfUnheard(key, status));
+      tell(
+          EventKind.HEARTBEAT,
+          (leader, present) -> {
+            heard.put(key, status.sequence());
+            return leader.workerReported(status, present);
+          });
+    }
+  }
+
+  /** A worker whose heartbeat is not acknowledged sends the next one at once. */
+  private void beatAgainIfUnheard(WorkerKey key, WorkerStatus status) {
+    if (heard.getOrDefault(key, 0L) < status.sequence()) {
+      lostBeats++;
+      nextBeat.put(key, now);
     }
   }
 
--- /dev/null
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedThread.java
@@ -0,0 +1,119 @@
+package org.primrosegauge.standin.scope;
+
+import java.util.ArrayDeque;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * The one thread of a leader in virtual time: it handles one event after the other, each takes its
+ * time, and events that come meanwhile wait. Events that cost nothing are handled at once.
+ *
+ * <p>Not thread-safe; owned by one {@link EmulatedScope}. Life-cycle: any number of {@link #offer}
+ * and {@link #runUntil}; {@link #restart} when another instance begins to lead.
+ */
+final class EmulatedThread {
+
+  /** Handles an event and returns its effects, which others see once it has been handled. */
+  @FunctionalInterface
+  interface Event {
+    Runnable handle();
+  }
+
+  /** Runs effects at a time, in milliseconds. */
+  @FunctionalInterface
+  interface Schedule {
+    void at(long millis, Runnable effects);
+  }
+
+  private record Entry(EventKind kind, long atMillis, Event event) {}
+
+  private final EventCost cost;
+  private final LongSupplier examined;
+  private final Schedule schedule;
+  private final Queue<Entry> entries = new ArrayDeque<>();
+  private final Map<EventKind, Integer> handled = new EnumMap<>(EventKind.class);
+  private final Map<EventKind, Integer> late = new EnumMap<>(EventKind.class);
+  private long freeAtNanos;
+  private long busyNanos;
+  private long longestWaitMillis;
+  private long longestEventNanos;
+  private long examinedInAll;
+
+  /**
+   * Creates a thread that waits for events.
+   *
+   * @param examined tells how many things the present leader has looked at so far
+   */
+  EmulatedThread(EventCost cost, LongSupplier examined, Schedule schedule) {
+    this.cost = cost;
+    this.examined = examined;
+    this.schedule = schedule;
+  }
+
+  /** Begins anew at another instance: what waited at the earlier one is lost. */
+  void restart(long nowMillis) {
+    entries.clear();
+    freeAtNanos = TimeUnit.MILLISECONDS.toNanos(nowMillis);
+  }
+
+  /** Hands in an event. */
+  void offer(EventKind kind, long nowMillis, Event event) {
+    if (cost.isNone()) {
+      event.handle().run();
+      return;
+    }
+    entries.add(new Entry(kind, nowMillis, event));
+  }
+
+  /** Tells whether an event of a kind waits. */
+  boolean hasWaiting(EventKind kind) {
+    return entries.stream().anyMatch(entry -> entry.kind() == kind);
+  }
+
+  /** Handles what waits, as far as the thread gets by a time. */
+  void runUntil(long nowMillis) {
+    long untilNanos = TimeUnit.MILLISECONDS.toNanos(nowMillis);
+    while (!entries.isEmpty() && freeAtNanos <= untilNanos) {
+      handle(entries.poll(), nowMillis);
+    }
+  }
+
+  private void handle(Entry entry, long nowMillis) {
+    long beginNanos = Math.max(freeAtNanos, TimeUnit.MILLISECONDS.toNanos(entry.atMillis()));
+    final long waitMillis = TimeUnit.NANOSECONDS.toMillis(beginNanos) - entry.atMillis();
+    final long before = examined.getAsLong();
+    Runnable effects = entry.event().handle();
+    long looked = Math.max(0, examined.getAsLong() - before);
+    long nanos = cost.nanosFor(looked);
+    freeAtNanos = beginNanos + nanos;
+    note(entry.kind(), waitMillis, looked, nanos);
+    long doneMillis = TimeUnit.NANOSECONDS.toMillis(freeAtNanos);
+    schedule.at(Math.max(nowMillis, doneMillis), effects);
+  }
+
+  private void note(EventKind kind, long waitMillis, long looked, long nanos) {
+    handled.merge(kind, 1, Integer::sum);
+    if (waitMillis > kind.patienceMillis()) {
+      late.merge(kind, 1, Integer::sum);
+    }
+    busyNanos += nanos;
+    examinedInAll += looked;
+    longestWaitMillis = Math.max(longestWaitMillis, waitMillis);
+    longestEventNanos = Math.max(longestEventNanos, nanos);
+  }
+
+  /** Returns what was seen so far; the oldest event that still waits counts too. */
+  ThreadFigures figures(long nowMillis) {
+    long oldest = entries.isEmpty() ? nowMillis : entries.peek().atMillis();
+    return new ThreadFigures(
+        Map.copyOf(handled),
+        Map.copyOf(late),
+        Math.max(longestWaitMillis, nowMillis - oldest),
+        TimeUnit.NANOSECONDS.toMicros(longestEventNanos),
+        TimeUnit.NANOSECONDS.toMillis(busyNanos),
+        examinedInAll);
+  }
+}
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
@@ -129,6 +129,7 @@
             now,
             order.checkpoint());
     runs.put(order.run(), run);
+    world.gangs.began(run, this);
     world.checker.began(this, run, order);
     return StartAnswer.STARTED;
   }
@@ -236,6 +237,7 @@
 
   void end(Run run, RunOutcome outcome) {
     runs.remove(run.id);
+    world.gangs.gone(run);
     barred.merge(run.id.task(), run.id.attempt(), Math::max);
     String saved = outcome == RunOutcome.DONE ? "" : run.saved;
     world.meter.ended(run, outcome);
