--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -112,6 +112,11 @@
   private long proposed;
   private int lostBeats;
   double lostAnswers;
+
+  /** Shortest time between two passes of the planner; 0 plans after each event. */
+  long planPauseMillis;
+
+  private long nextPlanMillis;
   double lateOrders;
   boolean isCalm = true;
 
@@ -139,7 +144,14 @@
     this.random = new Random(seed);
     this.fleet = fleet;
     this.cost = cost;
-    this.thread = new EmulatedThread(cost, this::examined, this::at);
+    this.thread =
+        new EmulatedThread(
+            cost,
+            new EmulatedThread.Ports(
+                this::examined,
+                () -> decide(ScopeScheduler::plan),
+                () -> decide(ScopeScheduler::look),
+                this::at));
     this.ledger.apply(new ScopeCommand.Configure(configuration, "text"));
     for (int i = 0; i < fleet.workers(); i++) {
       startWorker("w" + i, i);
@@ -340,7 +352,24 @@
     };
   }
 
+  /**
+   * Carries out what an event asks for. Where events take no time, what planning finds follows,
+   * unless a pass was just made; otherwise the thread plans.
+   */
   private void perform(List<ScopeAction> actions) {
+    carryOut(actions);
+    if (!cost.isNone()) {
+      return;
+    }
+    if (now >= nextPlanMillis) {
+      nextPlanMillis = now + planPauseMillis;
+      carryOut(scheduler.plan(present()));
+    } else {
+      carryOut(scheduler.look(present()));
+    }
+  }
+
+  private void carryOut(List<ScopeAction> actions) {
     for (ScopeAction action : actions) {
       trace("action", action);
       if (action instanceof ScopeAction.Propose propose) {
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EventKind.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EventKind.java
@@ -19,7 +19,11 @@
   /** A worker has answered a look, or has not. */
   LOOK(700),
   /** Time has passed. */
-  TICK(Long.MAX_VALUE);
+  TICK(Long.MAX_VALUE),
+  /** Waiting steps are given their workers, once for the events before. */
+  PLAN(Long.MAX_VALUE),
+  /** Workers are looked at while planning pauses. */
+  RENEWAL(Long.MAX_VALUE);
 
   private final long patienceMillis;
 
