Scheduler: an event costs what it touches, not all workers and runs

Seen: after each event all workers were asked whether a look is due; each tick walked all workers and all runs, and four times a second all runs twice more. On the log's thread of a leader of 246 workers that is what heartbeats and calls wait behind.

Change: looks come from a queue of the sessions that something has changed for and of times that have come (LookQueue); sessions that do not answer, runs whose stop is not confirmed, and steps that may have strays are kept in sets of their own; a run is looked at for standing still when it can first do so (DueQueue); a session counts its ordered runs and its tasks by step. examined() now counts answers, placements, ends and a takeover too.

Why it works: each input of "is a look due" (answer, time, order, recorded end) touches its session where it changes; a run's progress time only grows, so it cannot stand still before the time that is queued; a step is suspect when a leader takes over, when a member of its gang is ordered or removed, and when a proposed end is not taken, and a job that ends stops its runs at once.

Evidence: BookkeepingCostTest on, before this, fails; a heartbeat examined 30 on 30 workers and 2,800 on 2,800, a look answer 30 and 2,800, a tick 90 and 8,400, a new lifetime 60 and 5,600. Now, on 30 as on 2,800: 0, 3, 0 and 4. ScopeCoreDueTest compares what is due with walks over all sessions and runs, after 100 random courses of 1,000 events.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunControl.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunControl.java
@@ -44,6 +44,10 @@
   boolean endProposed;
   long runningSinceMillis;
   int percent;
+
+  /** Whether a time is set at which it is looked at for progress. */
+  boolean watched;
+
   long progressMillis;
   String checkpoint = "";
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
@@ -46,6 +46,7 @@
 
   /** Acts on placements that the log has applied. */
   void placed(List<Placement> placements, Present present) {
+    state.examined(placements.size());
     Set<StepKey> brokenGangs = new HashSet<>();
     List<RunControl> ready = new ArrayList<>();
     for (Placement placement : placements) {
@@ -96,7 +97,11 @@
   // Starts
 
   private void sendStart(RunControl run, long nowMillis) {
-    run.phase = RunControl.Phase.STARTING;
+    run.worker.order(run);
+    state.looks.touch(run.worker);
+    if (run.spec.gang()) {
+      state.suspects.add(run.id.task().stepKey());
+    }
     run.startInFlight = true;
     run.startTries++;
     WorkerSession worker = run.worker;
@@ -139,7 +144,7 @@
   }
 
   private void started(RunControl run, Present present) {
-    run.running(present.millis());
+    state.running(run, present.millis());
     state.report(ScopeEvent.of(Kind.STARTED, run.id, run.worker.info.key(), ""));
     lookSoon(run.worker, present.millis());
     if (run.stopWanted) {
@@ -184,7 +189,7 @@
   /** The other members of a gang would wait in vain, and end alone. */
   private void doubt(RunControl run, Present present) {
     run.phase = RunControl.Phase.IN_DOUBT;
-    run.stopWanted = true;
+    state.wantStop(run);
     sendStop(run, present.millis());
     if (run.spec.gang()) {
       stopGang(run, "start of member " + run.id.task().index() + " is in doubt", present);
@@ -218,7 +223,7 @@
     if (run.stopWanted || run.endProposed) {
       return;
     }
-    run.stopWanted = true;
+    state.wantStop(run);
     state.report(ScopeEvent.of(Kind.STOPPING, run.id, run.worker.info.key(), "why=" + why));
     if (run.isOrdered()) {
       sendStop(run, present.millis());
@@ -250,14 +255,20 @@
     run.stopInFlight = false;
     if (answer == StopAnswer.STOPPING) {
       run.barredMillis = Math.min(run.barredMillis, present.millis());
+      state.stopping.remove(run);
       lookSoon(run.worker, present.millis());
     } else if (answer == StopAnswer.OTHER_LIFETIME) {
       lifetimeOver(run.worker);
     }
   }
 
-  /** Sends again what got no answer. */
-  void resend(RunControl run, long nowMillis) {
+  /** Sends the orders to stop again that got no answer. */
+  void resendStops(long nowMillis) {
+    state.examined(state.stopping.size());
+    state.stopping.forEach(run -> resendIfDue(run, nowMillis));
+  }
+
+  private void resendIfDue(RunControl run, long nowMillis) {
     boolean isUnanswered =
         run.stopWanted
             && run.isOrdered()
@@ -281,6 +292,7 @@
 
   void lookSoon(WorkerSession worker, long nowMillis) {
     worker.nextLookMillis = Math.min(worker.nextLookMillis, nowMillis);
+    state.looks.touch(worker);
   }
 
   /** Gives a worker nothing new for a while. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunWatch.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunWatch.java
@@ -1,7 +1,9 @@
 package org.primrosegauge.core.scope.impl;
 
-import java.util.HashSet;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.primrosegauge.core.scope.Present;
 import org.primrosegauge.core.scope.StepKey;
@@ -17,6 +19,9 @@
  */
 final class RunWatch {
 
+  /** Time between two checks, in milliseconds. */
+  static final long PERIOD_MILLIS = 250;
+
   private static final int COMPLETE_PERCENT = 100;
 
   private final ScopeState state;
@@ -29,6 +34,7 @@
 
   /** Moves the work off a worker that leaves, where it cannot end there in time. */
   void drain(WorkerSession worker, Present present) {
+    state.examined(worker.runs.size());
     for (RunControl run : List.copyOf(worker.runs.values())) {
       long end = present.millis() + run.remainingMillis(present.millis());
       boolean isSaved = run.spec.checkpoints() && run.isRunning();
@@ -40,10 +46,15 @@
 
   /** Looks for runs that have not moved on for too long. */
   void check(Present present) {
-    state.examined(2 * state.runs.size());
     stopStrays(present);
-    Set<StepKey> stalledGangs = new HashSet<>();
-    for (RunControl run : List.copyOf(state.runs.values())) {
+    Set<StepKey> stalledGangs = new LinkedHashSet<>();
+    for (RunControl run : takeDue(present.millis())) {
+      state.examined(1);
+      boolean isOver = state.runs.get(run.id) != run || run.stopWanted;
+      if (isOver) {
+        continue;
+      }
+      state.watchAt(run, present.millis() + PERIOD_MILLIS);
       if (!isStalled(run, present.millis())) {
         continue;
       }
@@ -57,20 +68,37 @@
     stalledGangs.forEach(step -> checkGang(step, present));
   }
 
+  /** Takes the runs that had time enough to stand still since they last moved on. */
+  private List<RunControl> takeDue(long nowMillis) {
+    List<RunControl> due = new ArrayList<>();
+    Optional<RunControl> next = state.stalls.take(nowMillis);
+    while (next.isPresent()) {
+      due.add(next.get());
+      next = state.stalls.take(nowMillis);
+    }
+    return due;
+  }
+
   /** Stops runs of jobs that are over and what is left of gangs, as a new leader may find them. */
   private void stopStrays(Present present) {
-    for (RunControl run : List.copyOf(state.runs.values())) {
-      StepRecord step = state.ledger.step(run.id.task().stepKey());
-      boolean isDone = step == null || step.isDone();
-      if (isDone && run.spec.gang()) {
-        // Its members end by themselves; the worker is about to list this end.
-        continue;
-      }
-      if (run.job.status().isFinal()) {
-        orders.stop(run, "job is over", present);
-      } else if (run.spec.gang() && run.isOrdered() && step.openTasks() < step.tasks().size()) {
-        orders.stop(run, "gang is not complete", present);
-      }
+    List<StepKey> suspects = List.copyOf(state.suspects);
+    state.suspects.clear();
+    for (StepKey suspect : suspects) {
+      StepRecord step = state.ledger.step(suspect);
+      state.runsOf(suspect).forEach(run -> stopIfStray(run, step, present));
+    }
+  }
+
+  private void stopIfStray(RunControl run, StepRecord step, Present present) {
+    boolean isDone = step == null || step.isDone();
+    if (isDone && run.spec.gang()) {
+      // Its members end by themselves; the worker is about to list this end.
+      return;
+    }
+    if (run.job.status().isFinal()) {
+      orders.stop(run, "job is over", present);
+    } else if (run.spec.gang() && run.isOrdered() && step.openTasks() < step.tasks().size()) {
+      orders.stop(run, "gang is not complete", present);
     }
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -34,8 +34,6 @@
  */
 public final class ScopeCore {
 
-  private static final long WATCH_MILLIS = 250;
-
   private final ScopeState state;
   private final RunOrders orders;
   private final WorkerLooks looks;
@@ -46,7 +44,11 @@
 
   /** Creates the core of a scheduler that does not lead. */
   public ScopeCore(ScopeLedger ledger, ScopeSettings settings) {
-    state = new ScopeState(ledger, settings);
+    this(new ScopeState(ledger, settings));
+  }
+
+  ScopeCore(ScopeState state) {
+    this.state = state;
     orders = new RunOrders(state);
     looks = new WorkerLooks(state, orders);
     watch = new RunWatch(state, orders);
@@ -61,6 +63,7 @@
     state.term = term;
     inOffice = true;
     for (WorkerRecord worker : state.ledger.workers()) {
+      state.examined(1 + worker.openRuns().size());
       WorkerSession session = openSession(worker.info(), present);
       for (RunId run : worker.openRuns()) {
         inherit(run, session, present.millis());
@@ -101,6 +104,7 @@
             RunControl.Phase.INHERITED,
             nowMillis);
     state.add(run);
+    state.suspects.add(id.task().stepKey());
   }
 
   /** Returns how many workers, runs, jobs and tasks decisions have looked at so far. */
@@ -146,6 +150,7 @@
   }
 
   private void endsRecorded(ScopeCommand.RecordEnds command, Present present) {
+    state.examined(command.ends().size());
     Set<JobId> touched = new HashSet<>();
     for (RunEnd end : command.ends()) {
       RunControl run = state.runs.get(end.run());
@@ -209,6 +214,7 @@
             .filter(session -> state.ledger.worker(session.info.key()).isEmpty())
             .toList();
     for (WorkerSession session : old) {
+      state.examined(1 + session.runs.size());
       state.removeSession(session);
       state.report(
           ScopeEvent.of(Kind.WORKER_GONE, session.info.key(), "runs=" + session.runs.size()));
@@ -228,7 +234,7 @@
       ends.ends().stream()
           .map(end -> state.runs.get(end.run()))
           .filter(run -> run != null)
-          .forEach(run -> run.endProposed = false);
+          .forEach(this::endNotRecorded);
       WorkerSession worker = state.sessions.get(ends.worker());
       if (worker != null) {
         worker.proposedEnd = 0;
@@ -241,6 +247,12 @@
     }
   }
 
+  private void endNotRecorded(RunControl run) {
+    run.endProposed = false;
+    // What should stop it may have happened while its end was proposed.
+    state.suspects.add(run.id.task().stepKey());
+  }
+
   // Workers
 
   /** Takes a heartbeat. */
@@ -310,15 +322,10 @@
 
   /** Acts on what is due. */
   public void tick(Present present) {
-    state.examined(state.sessions.size() + state.runs.size());
-    for (WorkerSession session : List.copyOf(state.sessions.values())) {
-      looks.lapseIfDue(session, present);
-    }
-    for (RunControl run : List.copyOf(state.runs.values())) {
-      orders.resend(run, present.millis());
-    }
+    looks.lapseWhereDue(present);
+    orders.resendStops(present.millis());
     if (present.millis() >= nextWatchMillis) {
-      nextWatchMillis = present.millis() + WATCH_MILLIS;
+      nextWatchMillis = present.millis() + RunWatch.PERIOD_MILLIS;
       watch.check(present);
     }
   }
@@ -333,10 +340,7 @@
 
   /** Looks at the workers for which that is due. */
   public void look(Present present) {
-    state.examined(state.sessions.size());
-    for (WorkerSession session : state.sessions.values()) {
-      looks.lookIfDue(session, present);
-    }
+    looks.lookWhereDue(present);
   }
 
   /** Hands out what the events and the planning since the last call ask for. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -46,6 +47,22 @@
   private final WorkerIndex sessionIndex = new WorkerIndex();
   private final Map<StepKey, Map<RunId, RunControl>> runsByStep = new HashMap<>();
   private final Map<JobId, Map<RunId, RunControl>> runsByJob = new HashMap<>();
+
+  /** Sessions at which a look may be due. */
+  final LookQueue looks = new LookQueue();
+
+  /** Sessions whose last look was not answered. */
+  final Set<WorkerSession> failing = new LinkedHashSet<>();
+
+  /** Runs that are to stop and whose workers have not said that they do. */
+  final Set<RunControl> stopping = new LinkedHashSet<>();
+
+  /** Steps of which runs may have to stop because what they belong to is over or broken. */
+  final Set<StepKey> suspects = new LinkedHashSet<>();
+
+  /** Runs by the time at which they stand still, unless they have moved on until then. */
+  final DueQueue<RunControl> stalls = new DueQueue<>();
+
   private final Map<StepKey, Integer> proposedRuns = new HashMap<>();
   private final Set<TaskKey> proposedTasks = new HashSet<>();
   private List<ScopeAction> actions = new ArrayList<>();
@@ -70,6 +87,11 @@
     notBefore.clear();
     farAllowedAt.clear();
     failedOn.clear();
+    looks.clear();
+    failing.clear();
+    stopping.clear();
+    suspects.clear();
+    stalls.clear();
     proposedRuns.clear();
     proposedTasks.clear();
     actions = new ArrayList<>();
@@ -120,11 +142,13 @@
   void addSession(WorkerSession session) {
     sessions.put(session.info.key(), session);
     sessionIndex.add(session.info);
+    looks.touch(session);
   }
 
   void removeSession(WorkerSession session) {
     sessions.remove(session.info.key());
     sessionIndex.remove(session.info);
+    failing.remove(session);
   }
 
   /** Returns a copy of the sessions of a target. */
@@ -158,6 +182,10 @@
     removeFrom(runsByStep, run.id.task().stepKey(), run.id);
     removeFrom(runsByJob, run.id.task().job(), run.id);
     run.worker.remove(run);
+    stopping.remove(run);
+    if (run.spec.gang()) {
+      suspects.add(run.id.task().stepKey());
+    }
     dirty = true;
   }
 
@@ -184,6 +212,26 @@
     return found;
   }
 
+  /** Notes that the worker has a run, from which its progress counts. */
+  void running(RunControl run, long nowMillis) {
+    run.running(nowMillis);
+    if (!run.watched && !run.spec.longRunning()) {
+      run.watched = true;
+      watchAt(run, nowMillis);
+    }
+  }
+
+  /** Has a run looked at again when it can stand still, but not before a time. */
+  void watchAt(RunControl run, long atMillis) {
+    stalls.add(run, Math.max(atMillis, run.progressMillis + settings.stallMillis() + 1));
+  }
+
+  /** Notes that a run is to stop. */
+  void wantStop(RunControl run) {
+    run.stopWanted = true;
+    stopping.add(run);
+  }
+
   /** Returns the runs that end with a run: all members of its gang, or itself. */
   Collection<RunControl> stoppedWith(RunControl run) {
     return run.spec.gang() ? runsOf(run.id.task().stepKey()) : List.of(run);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -32,7 +32,7 @@
 
   private static final long LOOK_RETRY_MILLIS = 150;
   private static final long COMMIT_WAIT_MILLIS = 250;
-  private static final long LAPSE_SLACK_MILLIS = 300;
+  static final long LAPSE_SLACK_MILLIS = 300;
 
   private final ScopeState state;
   private final RunOrders orders;
@@ -45,13 +45,26 @@
 
   // Sending
 
-  /** Looks at a worker if that is due. */
-  void lookIfDue(WorkerSession worker, Present present) {
-    long now = present.millis();
-    if (worker.lookInFlight || now < worker.nextLookMillis || !needsLook(worker)) {
-      return;
+  /** Looks at the workers for which that is due. */
+  void lookWhereDue(Present present) {
+    List<WorkerSession> touched = state.looks.take(present.millis());
+    state.examined(touched.size());
+    for (WorkerSession worker : touched) {
+      boolean isKnown = state.sessions.get(worker.info.key()) == worker;
+      if (!isKnown || worker.lookInFlight || !needsLook(worker)) {
+        continue;
+      }
+      if (present.millis() < worker.nextLookMillis) {
+        state.looks.delay(worker);
+      } else {
+        look(worker, present);
+      }
     }
-    boolean hasRuns = worker.runs.values().stream().anyMatch(RunControl::isOrdered);
+  }
+
+  private void look(WorkerSession worker, Present present) {
+    long now = present.millis();
+    boolean hasRuns = worker.hasOrderedRuns();
     boolean renews = hasRuns && worker.knowsClock() && !worker.left;
     long deadline = renews ? worker.clockAt(now) + state.settings.leaseMillis() : 0;
     worker.longestDeadline = Math.max(worker.longestDeadline, deadline);
@@ -75,7 +88,7 @@
     return !worker.confirmed
         || worker.lookFailures > 0
         || worker.toldEnd < recorded(worker)
-        || worker.runs.values().stream().anyMatch(RunControl::isOrdered);
+        || worker.hasOrderedRuns();
   }
 
   private long recorded(WorkerSession worker) {
@@ -87,6 +100,7 @@
   /** Takes the answer to a look. */
   void answered(WorkerSession worker, LookAnswer answer, Present present) {
     worker.lookInFlight = false;
+    state.looks.touch(worker);
     switch (answer.kind()) {
       case REPORT -> reported(worker, answer, present);
       case OTHER_LIFETIME -> orders.lifetimeOver(worker);
@@ -109,6 +123,7 @@
       state.report(ScopeEvent.of(Kind.WORKER_SILENT, worker.info.key(), detail));
     }
     worker.lookFailures++;
+    state.failing.add(worker);
     worker.nextLookMillis = nowMillis + LOOK_RETRY_MILLIS;
   }
 
@@ -116,6 +131,7 @@
     long now = present.millis();
     if (worker.lookFailures > 0) {
       worker.lookFailures = 0;
+      state.failing.remove(worker);
       state.dirty = true;
       state.report(ScopeEvent.of(Kind.WORKER_BACK, worker.info.key(), ""));
     }
@@ -128,6 +144,7 @@
           Math.max(worker.longestDeadline, answer.clockMillis() + state.settings.leaseMillis());
     }
     worker.nextLookMillis = now;
+    state.examined(worker.runs.size() + answer.ended().size() + answer.running().size());
     Set<RunId> ended = recordEnds(worker, answer.ended(), present);
     Set<RunId> running = noteRunning(worker, answer.running(), present);
     findMissing(worker, running, ended, present);
@@ -171,7 +188,7 @@
         continue;
       }
       if (run.phase == RunControl.Phase.STARTING || run.phase == RunControl.Phase.INHERITED) {
-        run.running(now);
+        state.running(run, now);
       }
       run.progress(entry.percent(), entry.checkpoint(), now);
     }
@@ -218,9 +235,14 @@
 
   // Time
 
-  /** Records that the lease on a worker that cannot be reached is over. */
-  void lapseIfDue(WorkerSession worker, Present present) {
-    if (worker.lookFailures == 0 || worker.runs.isEmpty()) {
+  /** Records which leases on workers that cannot be reached are over. */
+  void lapseWhereDue(Present present) {
+    state.examined(state.failing.size());
+    state.failing.forEach(worker -> lapseIfDue(worker, present));
+  }
+
+  private void lapseIfDue(WorkerSession worker, Present present) {
+    if (worker.runs.isEmpty()) {
       return;
     }
     boolean isOver =
@@ -228,6 +250,7 @@
     if (!isOver) {
       return;
     }
+    state.examined(worker.runs.size());
     List<RunEnd> ends = new ArrayList<>();
     for (RunControl run : worker.runs.values()) {
       if (run.isOrdered() && !run.endProposed) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -1,5 +1,6 @@
 package org.primrosegauge.core.scope.impl;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.primrosegauge.core.job.Resources;
@@ -20,6 +21,8 @@
 
   final WorkerInfo info;
   final Map<RunId, RunControl> runs = new LinkedHashMap<>();
+  private final Map<StepKey, Integer> tasks = new HashMap<>();
+  private int orderedRuns;
   private Resources used = Resources.NONE;
   private Resources reserved = Resources.NONE;
   long sequence = -1;
@@ -34,6 +37,10 @@
   boolean lookInFlight;
   long lookSentMillis;
   long nextLookMillis;
+
+  /** Earliest time for which it waits in the queue of looks. */
+  long queuedLookMillis = Long.MAX_VALUE;
+
   int lookFailures;
   long heardMillis;
   long answeredMillis;
@@ -73,11 +80,16 @@
 
   void add(RunControl run) {
     runs.put(run.id, run);
+    tasks.merge(run.id.task().stepKey(), 1, Integer::sum);
+    orderedRuns += run.isOrdered() ? 1 : 0;
     used = used.plus(run.spec.task());
   }
 
   void remove(RunControl run) {
     if (runs.remove(run.id) != null) {
+      tasks.computeIfPresent(
+          run.id.task().stepKey(), (step, count) -> count == 1 ? null : count - 1);
+      orderedRuns -= run.isOrdered() ? 1 : 0;
       used = used.minus(run.spec.task());
     }
   }
@@ -91,7 +103,18 @@
   }
 
   long tasksOf(StepKey step) {
-    return runs.keySet().stream().filter(run -> run.task().stepKey().equals(step)).count();
+    return tasks.getOrDefault(step, 0);
+  }
+
+  /** Notes that the worker is told of a run. */
+  void order(RunControl run) {
+    orderedRuns += run.isOrdered() ? 0 : 1;
+    run.phase = RunControl.Phase.STARTING;
+  }
+
+  /** Tells whether the worker has been told of any run here. */
+  boolean hasOrderedRuns() {
+    return orderedRuns > 0;
   }
 
   // Contact
