--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/AppliedState.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/AppliedState.java
@@ -1,5 +1,6 @@
 package org.primrosegauge.node.log;
 
+import java.util.function.Supplier;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.log.LogEntry;
@@ -24,11 +25,12 @@
   R apply(LogEntry entry) throws WireException;
 
   /**
-   * Returns the whole state.
+   * Freezes the whole state and returns the function that writes it. The function is called once,
+   * on another thread, while later entries are applied: it must not touch the state.
    *
-   * @since 0.2
+   * @since 0.3
    */
-  byte[] snapshot();
+  Supplier<byte[]> snapshot();
 
   /**
    * Replaces the whole state.
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
@@ -141,8 +142,10 @@
     }
 
     @Override
-    public byte[] snapshot() {
-      return codec.write(registry.snapshot());
+    public Supplier<byte[]> snapshot() {
+      // Parts of the registry's state change in place, so it is written here; it is small.
+      byte[] bytes = codec.write(registry.snapshot());
+      return () -> bytes;
     }
 
     @Override
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -7,6 +7,7 @@
 import java.util.Queue;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.InstanceId;
@@ -34,8 +35,8 @@
 
 /**
  * A replica of the log in this process: one thread runs the replica and the state that it is
- * applied to, a second one writes the journal and syncs it. Writes that wait while a sync runs
- * share the next one.
+ * applied to, a second one writes the journal and syncs it, a third one writes snapshots. Writes
+ * that wait while a sync runs share the next one.
  *
  * <p>All state is touched on the log thread only. A failed write or sync ends the process's part in
  * the log for good: nothing is written again and nothing more is acknowledged.
@@ -50,6 +51,8 @@
   private static final Logger LOG = LoggerFactory.getLogger(ReplicatedLog.class);
   private static final long TICK_MILLIS = 50;
   private static final long JOURNAL_TICK_MILLIS = 250;
+  private static final long SNAPSHOT_TICK_MILLIS = 1_000;
+  private static final int SNAPSHOT_RING_CAPACITY = 2;
   private static final long SNAPSHOT_INTERVAL_ENTRIES = 2_000;
 
   /**
@@ -75,6 +78,7 @@
   private final AppliedState<R> state;
   private final Duty duty;
   private final Duty journal;
+  private final Duty snapshots;
   private final LogReplica replica;
   private final Map<LogIndex, Pending<R>> pending = new TreeMap<>();
   private final List<MonoSink<R>> proposing = new ArrayList<>();
@@ -82,6 +86,7 @@
   private boolean performing;
   private long applied;
   private long snapshotAt;
+  private boolean isWritingSnapshot;
   private volatile InstanceId publishedLeader;
 
   // Touched by the journal thread only.
@@ -110,6 +115,9 @@
             new StateSettling());
     this.journal =
         new Duty("journal", ringCapacity, JOURNAL_TICK_MILLIS, ports.clock(), now -> syncBatch());
+    this.snapshots =
+        new Duty(
+            "snapshot", SNAPSHOT_RING_CAPACITY, SNAPSHOT_TICK_MILLIS, ports.clock(), now -> {});
     RecoveredLog recovered = ports.storage().recover();
     restoreFrom(recovered);
     this.replica = new LogReplica(settings, recovered, ports.random(), now());
@@ -124,12 +132,13 @@
   // Life-cycle
 
   /**
-   * Starts both threads.
+   * Starts its threads.
    *
    * @since 0.2
    */
   public void start() {
     journal.start();
+    snapshots.start();
     duty.start();
     duty.offer(() -> state.changed(applied));
   }
@@ -137,6 +146,7 @@
   @Override
   public void close() {
     duty.close();
+    snapshots.close();
     journal.close();
     ports.storage().close();
   }
@@ -371,11 +381,18 @@
   }
 
   private void snapshotIfDue() {
-    if (applied - snapshotAt >= SNAPSHOT_INTERVAL_ENTRIES) {
-      snapshotAt = applied;
-      byte[] bytes = state.snapshot();
-      perform(replica.snapshotTaken(new LogIndex(applied), bytes, now()));
+    if (isWritingSnapshot || applied - snapshotAt < SNAPSHOT_INTERVAL_ENTRIES) {
+      return;
     }
+    snapshotAt = applied;
+    LogIndex index = new LogIndex(applied);
+    Supplier<byte[]> frozen = state.snapshot();
+    isWritingSnapshot = snapshots.offer(() -> writeSnapshot(index, frozen));
+  }
+
+  private void snapshotWritten(LogIndex index, byte[] bytes) {
+    isWritingSnapshot = false;
+    perform(replica.snapshotTaken(index, bytes, now()));
   }
 
   private void restoreFrom(RecoveredLog recovered) {
@@ -394,6 +411,18 @@
     }
   }
 
+  // Snapshot thread
+
+  private void writeSnapshot(LogIndex index, Supplier<byte[]> frozen) {
+    try {
+      byte[] bytes = frozen.get();
+      duty.offer(Duty.Rank.ANSWER, () -> snapshotWritten(index, bytes));
+    } catch (RuntimeException e) {
+      LOG.error("no snapshot at {}; the log is kept until the next one", index, e);
+      duty.offer(Duty.Rank.ANSWER, () -> isWritingSnapshot = false);
+    }
+  }
+
   // Journal thread
 
   private void persist(LogAction.Persist write) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.InstanceId;
@@ -385,8 +386,9 @@
     }
 
     @Override
-    public byte[] snapshot() {
-      return codec.write(ledger.snapshot());
+    public Supplier<byte[]> snapshot() {
+      ScopeSnapshot frozen = ledger.snapshot();
+      return () -> codec.write(frozen);
     }
 
     @Override
