Takeover: a new leader meets the workers in groups, not all at once

Cause: in its first pass a new leader looked at all 246 workers, each over a new connection, just when it has to prove to the other replicas that it leads.

Ruled out: a limit on all looks in flight. Looks at workers that run something wait there for an end, and workers behind a cut hold theirs for 700 ms; both would keep others from having their leases renewed.

Change: at most 64 first looks of a term within 100 ms. A look that is unanswered for longer counts no more. Later looks, which renew leases, have no limit.

The emulator's tests pass. What the takeover costs at scale was not measured.

Why it works: the number of new connections a moment no longer follows the size of the site, and 246 workers are met in four groups.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -333,10 +333,7 @@
 
   /** Looks at the workers for which that is due. */
   public void look(Present present) {
-    state.examined(state.sessions.size());
-    for (WorkerSession session : state.sessions.values()) {
-      looks.lookIfDue(session, present);
-    }
+    looks.lookWhereDue(present);
   }
 
   /** Hands out what the events and the planning since the last call ask for. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -34,6 +34,16 @@
   private static final long COMMIT_WAIT_MILLIS = 250;
   private static final long LAPSE_SLACK_MILLIS = 300;
 
+  /**
+   * Most workers that are looked at for the first time in a term within {@link #FIRST_LOOK_MILLIS}.
+   * A new leader meets all workers at once, each with a new connection, while it has to prove to
+   * the other replicas that it leads.
+   */
+  private static final int MAX_FIRST_LOOKS = 64;
+
+  /** Time after which an unanswered first look keeps no other waiting. */
+  private static final long FIRST_LOOK_MILLIS = 100;
+
   private final ScopeState state;
   private final RunOrders orders;
   private final Map<RunId, Long> unknownRuns = new HashMap<>();
@@ -45,12 +55,39 @@
 
   // Sending
 
-  /** Looks at a worker if that is due. */
-  void lookIfDue(WorkerSession worker, Present present) {
-    long now = present.millis();
-    if (worker.lookInFlight || now < worker.nextLookMillis || !needsLook(worker)) {
-      return;
+  /** Looks at the workers for which that is due. */
+  void lookWhereDue(Present present) {
+    int room = MAX_FIRST_LOOKS - youngFirstLooks(present.millis());
+    state.examined(state.sessions.size());
+    for (WorkerSession worker : state.sessions.values()) {
+      boolean isFirst = isFirstLook(worker);
+      if (isDue(worker, present.millis()) && (!isFirst || room > 0)) {
+        look(worker, present);
+        room -= isFirst ? 1 : 0;
+      }
+    }
+  }
+
+  private int youngFirstLooks(long nowMillis) {
+    state.examined(state.sessions.size());
+    int young = 0;
+    for (WorkerSession worker : state.sessions.values()) {
+      boolean isYoung = nowMillis - worker.lookSentMillis < FIRST_LOOK_MILLIS;
+      young += worker.lookInFlight && isYoung && isFirstLook(worker) ? 1 : 0;
     }
+    return young;
+  }
+
+  private static boolean isFirstLook(WorkerSession worker) {
+    return !worker.confirmed && worker.lookFailures == 0;
+  }
+
+  private boolean isDue(WorkerSession worker, long nowMillis) {
+    return !worker.lookInFlight && nowMillis >= worker.nextLookMillis && needsLook(worker);
+  }
+
+  private void look(WorkerSession worker, Present present) {
+    long now = present.millis();
     boolean hasRuns = worker.runs.values().stream().anyMatch(RunControl::isOrdered);
     boolean renews = hasRuns && worker.knowsClock() && !worker.left;
     long deadline = renews ? worker.clockAt(now) + state.settings.leaseMillis() : 0;
