--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -34,10 +34,23 @@
   private static final long COMMIT_WAIT_MILLIS = 250;
   static final long LAPSE_SLACK_MILLIS = 300;
 
+  /**
+   * Most workers that are looked at for the first time in a term within {@link #FIRST_LOOK_MILLIS}.
+   * A new leader meets all workers at once, each with a new connection, while it has to prove to
+   * the other replicas that it leads.
+   */
+  private static final int MAX_FIRST_LOOKS = 64;
+
+  /** Time after which an unanswered first look keeps no other waiting. */
+  private static final long FIRST_LOOK_MILLIS = 100;
+
   private final ScopeState state;
   private final RunOrders orders;
   private final Map<RunId, Long> unknownRuns = new HashMap<>();
 
+  /** Workers whose first look in this term is on its way. */
+  private final Set<WorkerSession> firstLooks = new HashSet<>();
+
   WorkerLooks(ScopeState state, RunOrders orders) {
     this.state = state;
     this.orders = orders;
@@ -49,6 +62,7 @@
   void lookWhereDue(Present present) {
     List<WorkerSession> touched = state.looks.take(present.millis());
     state.examined(touched.size());
+    int room = MAX_FIRST_LOOKS - youngFirstLooks(present.millis());
     for (WorkerSession worker : touched) {
       boolean isKnown = state.sessions.get(worker.info.key()) == worker;
       if (!isKnown || worker.lookInFlight || !needsLook(worker)) {
@@ -56,12 +70,29 @@
       }
       if (present.millis() < worker.nextLookMillis) {
         state.looks.delay(worker);
-      } else {
+      } else if (!isFirstLook(worker)) {
+        look(worker, present);
+      } else if (room > 0) {
+        room--;
+        firstLooks.add(worker);
         look(worker, present);
+      } else {
+        state.looks.touch(worker);
       }
     }
   }
 
+  private int youngFirstLooks(long nowMillis) {
+    state.examined(firstLooks.size());
+    firstLooks.removeIf(
+        worker -> !isFirstLook(worker) || nowMillis - worker.lookSentMillis >= FIRST_LOOK_MILLIS);
+    return firstLooks.size();
+  }
+
+  private static boolean isFirstLook(WorkerSession worker) {
+    return !worker.confirmed && worker.lookFailures == 0;
+  }
+
   private void look(WorkerSession worker, Present present) {
     long now = present.millis();
     boolean hasRuns = worker.hasOrderedRuns();
