Planner: a job that fits elsewhere waits at most 2 s for a near place while most workers are free

Cause: Planner.mayGoFar let a step with a data rack, or a gang that is faster on one rack, wait for a near place for as long as it is estimated to run, however empty the fleet was. At 30 workers a rack is a fifth or a quarter of the fleet.

Ruled out: the saturated thread. The holes are there when events take no time.

Change: while less than half of the cores, the memory and the accelerators of the service's workers is in use, as seen once a pass, the patience is 2 s from then on. The retry that farAllowedAt sets follows.

Price: such a job runs far from its data and takes up to 3 times as long.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -24,6 +24,12 @@
   /** Wait for a near place before a far one is taken, as a share of the estimated run time. */
   private static final int PATIENCE_PERCENT = 100;
 
+  /**
+   * Longest wait for a near place while most of the workers' capacity is free, in milliseconds: a
+   * job with room must not seem forgotten.
+   */
+  private static final long MOSTLY_FREE_PATIENCE_MILLIS = 2_000;
+
   private final ScopeState state;
   private final RunOrders orders;
   private final DemandQueue queue;
@@ -31,6 +37,7 @@
   private final Headroom headroom;
   private final Placer placer;
   private final RoomMaker roomMaker;
+  private final FleetUse fleet;
   private long nextRetryMillis = Long.MAX_VALUE;
 
   Planner(ScopeState state, RunOrders orders) {
@@ -41,6 +48,7 @@
     this.headroom = new Headroom(state);
     this.placer = new Placer(state, holds, headroom);
     this.roomMaker = new RoomMaker(state, placer);
+    this.fleet = new FleetUse(state);
   }
 
   /** Plans if anything has changed that may let a step start. */
@@ -52,6 +60,7 @@
     state.dirty = false;
     nextRetryMillis = Long.MAX_VALUE;
     holds.clear();
+    fleet.renew();
     headroom.renew(placer.open(present.millis()), present);
     List<Placement> placements = new ArrayList<>();
     redeemReservations(placements, present);
@@ -117,12 +126,19 @@
 
   /**
    * A task far from its data takes several times as long, so waiting for a place near it is better
-   * for about as long as the task runs. Urgent work that found no near room goes far at once.
+   * for about as long as the task runs, but only briefly while most workers are free. Urgent work
+   * that found no near room goes far at once.
    */
   private boolean mayGoFar(Demand demand, long nowMillis) {
+    if (demand.priority() == ScopeState.URGENT) {
+      return true;
+    }
     long patience = demand.spec().estimatedMillis() * PATIENCE_PERCENT / 100;
-    long allowedAt = state.farAllowedAt.computeIfAbsent(demand.key(), key -> nowMillis + patience);
-    return demand.priority() == ScopeState.URGENT || nowMillis >= allowedAt;
+    if (fleet.isMostlyFree(demand.job().job().pool())) {
+      patience = Math.min(patience, MOSTLY_FREE_PATIENCE_MILLIS);
+    }
+    long allowedAt = state.farAllowedAt.merge(demand.key(), nowMillis + patience, Math::min);
+    return nowMillis >= allowedAt;
   }
 
   private void report(Demand demand, List<WorkerSession> workers) {
