bench scope: what the decisions of a scope cost at 30, 246 and 2,800 workers

No benchmark ran the scope's planner at the size that binds the design. bin/bench scope plays the load of EmulatedLoad, scaled to the fleet, through the real decisions in virtual time. The emulated thread is busy for the processor time that each event took here, and for 60 us that the emulator leaves out. It prints what is examined and the time per event and per placement, p50, p99 and longest of events and of passes, the longest wait, the heap of the ledger, and the slopes. Time is processor time of the thread, so other processes disturb it little.

Jobs that ended stay in the ledger for all of the run.

--- /dev/null
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/scope/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what the decisions of a scope cost as its fleet grows. */
+package org.primrosegauge.bench.scope;
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -38,6 +38,7 @@
 import org.primrosegauge.core.scope.ScopeLedger;
 import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.ScopeScheduler;
+import org.primrosegauge.core.scope.ScopeSnapshot;
 import org.primrosegauge.core.scope.StartAnswer;
 import org.primrosegauge.core.scope.StepSpec;
 import org.primrosegauge.core.scope.StopAnswer;
@@ -103,7 +104,7 @@
   final EmulatedGangs gangs = new EmulatedGangs(this);
   final WorkMeter meter = new WorkMeter();
   final ScopeLedger ledger = new ScopeLedger(RETENTION_MILLIS);
-  private final EventCost cost;
+  private final EventMeter cost;
   private final EmulatedThread thread;
   private ScopeScheduler scheduler;
   private int epoch;
@@ -111,6 +112,7 @@
   long now = 10_000;
   private long proposed;
   private int lostBeats;
+  private int placements;
   double lostAnswers;
 
   /** Shortest time between two passes of the planner; 0 plans after each event. */
@@ -140,7 +142,7 @@
    * @since 0.3
    */
   public EmulatedScope(
-      long seed, EmulatedFleet fleet, ScopeConfiguration configuration, EventCost cost) {
+      long seed, EmulatedFleet fleet, ScopeConfiguration configuration, EventMeter cost) {
     this.random = new Random(seed);
     this.fleet = fleet;
     this.cost = cost;
@@ -358,7 +360,7 @@
    */
   private void perform(List<ScopeAction> actions) {
     carryOut(actions);
-    if (!cost.isNone()) {
+    if (!cost.isFree()) {
       return;
     }
     if (now >= nextPlanMillis) {
@@ -416,6 +418,9 @@
       checker.cancelled(cancel.job());
     }
     noteFinished(command);
+    if (command instanceof ScopeCommand.Place place) {
+      placements += place.placements().size();
+    }
     return decide((leader, present) -> leader.applied(command, present));
   }
 
@@ -717,6 +722,24 @@
     return lostBeats;
   }
 
+  /**
+   * Returns how many runs were placed so far.
+   *
+   * @since 0.3
+   */
+  public int placements() {
+    return placements;
+  }
+
+  /**
+   * Returns the committed state as it is now.
+   *
+   * @since 0.3
+   */
+  public ScopeSnapshot snapshot() {
+    return ledger.snapshot();
+  }
+
   /**
    * Returns how many runs have ended in a way.
    *
@@ -768,7 +791,7 @@
   }
 
   private void tick() {
-    boolean isDue = cost.isNone() || now % TICK_MILLIS == 0;
+    boolean isDue = cost.isFree() || now % TICK_MILLIS == 0;
     if (isDue && !thread.hasWaiting(EventKind.TICK)) {
       tell(EventKind.TICK, ScopeScheduler::tick);
     }
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedThread.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedThread.java
@@ -47,7 +47,7 @@
 
   private record Entry(EventKind kind, long atMillis, Event event) {}
 
-  private final EventCost cost;
+  private final EventMeter meter;
   private final Ports ports;
   private final Queue<Entry> entries = new ArrayDeque<>();
   private final Map<EventKind, Integer> handled = new EnumMap<>(EventKind.class);
@@ -62,8 +62,8 @@
   private long examinedInAll;
 
   /** Creates a thread that waits for events. */
-  EmulatedThread(EventCost cost, Ports ports) {
-    this.cost = cost;
+  EmulatedThread(EventMeter meter, Ports ports) {
+    this.meter = meter;
     this.ports = ports;
   }
 
@@ -77,7 +77,7 @@
 
   /** Hands in an event. */
   void offer(EventKind kind, long nowMillis, Event event) {
-    if (cost.isNone()) {
+    if (meter.isFree()) {
       event.handle().run();
       return;
     }
@@ -136,9 +136,10 @@
     long beginNanos = Math.max(freeAtNanos, TimeUnit.MILLISECONDS.toNanos(entry.atMillis()));
     final long waitMillis = TimeUnit.NANOSECONDS.toMillis(beginNanos) - entry.atMillis();
     final long before = ports.examined().getAsLong();
+    meter.begin();
     Runnable effects = entry.event().handle();
     long looked = Math.max(0, ports.examined().getAsLong() - before);
-    long nanos = cost.nanosFor(looked);
+    long nanos = meter.end(entry.kind(), looked);
     freeAtNanos = beginNanos + nanos;
     note(entry.kind(), waitMillis, looked, nanos);
     long doneMillis = TimeUnit.NANOSECONDS.toMillis(freeAtNanos);
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EventCost.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EventCost.java
@@ -9,7 +9,8 @@
  * @param coreShare share of a core that the thread has
  * @since 0.3
  */
-public record EventCost(long eventNanos, long examinedNanos, double coreShare) {
+public record EventCost(long eventNanos, long examinedNanos, double coreShare)
+    implements EventMeter {
 
   /**
    * Events take no time.
@@ -43,7 +44,16 @@
     return (long) ((eventNanos + examined * examinedNanos) / coreShare);
   }
 
-  boolean isNone() {
+  @Override
+  public boolean isFree() {
     return eventNanos == 0 && examinedNanos == 0;
   }
+
+  @Override
+  public void begin() {}
+
+  @Override
+  public long end(EventKind kind, long examined) {
+    return nanosFor(examined);
+  }
 }
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/LoadedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/LoadedScope.java
@@ -59,7 +59,7 @@
    * @param lengthMillis time until the last arrival, in milliseconds
    * @since 0.3
    */
-  public LoadedScope(long seed, int workers, long lengthMillis, EventCost cost) {
+  public LoadedScope(long seed, int workers, long lengthMillis, EventMeter cost) {
     fleet = EmulatedLoad.fleet(workers);
     configuration = EmulatedLoad.configuration(fleet);
     arrivals = EmulatedLoad.draw(seed, fleet, lengthMillis);
@@ -85,6 +85,15 @@
     scope.at(from, () -> trouble.strike(scope));
   }
 
+  /**
+   * Returns the scope.
+   *
+   * @since 0.3
+   */
+  public EmulatedScope scope() {
+    return scope;
+  }
+
   private void handIn(EmulatedLoad.Arrival arrival) {
     open.add(arrival);
     scope.submit(arrival.jobAt(scope.nowMillis()), arrival.workMillis());
