Orders about failure domains: one that comes late does not undo a newer one

What operators could see: an evacuation that was taken back, and acknowledged as such, was in force again (or one in force was gone). Cause: orders carry no version. One that was held up, by a suspended instance or a cut link, was carried out whenever it reached the leader, also after newer ones about the same domain. Configurations have revisions and are not concerned.

Ruled out: the time of day as an order (it jumps on some instances), and the age of an order at the instance that took it (its steady clock stands still while it is suspended).

Change: whoever passes an order on asks the leader first for the place of the next one about that domain and sends it along. An order whose place is old is refused (OVERTAKEN, 503 towards the operator, who may send it again) if it would undo what was taken after it, or, from another leader's term, what is in force. A resend that changes nothing is acknowledged as before.

What remains: a request that waits unread at an instance that is suspended gets its place after the instance wakes; it is dropped only if the operator has closed the connection by then.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.scope.ScopeMessage.Answer;
@@ -141,6 +142,31 @@
     return Mono.defer(() -> new OpenQuestion(route, clock, question, timeout).answer());
   }
 
+  /**
+   * Passes on an order to take a failure domain out, or back in. One that is held up on its way is
+   * refused with {@link ScopeRefusal#OVERTAKEN} if it would undo a newer one.
+   *
+   * @param timeout longest wait
+   * @return the answer, as of {@link #ask(Question, Duration)}
+   * @since 0.3
+   */
+  public Mono<Answer> switchDomain(FailureDomainId domain, boolean isOut, Duration timeout) {
+    return Mono.defer(
+        () -> {
+          long end = clock.nowMillis() + timeout.toMillis();
+          return ask(new ScopeMessage.AskOrderPlace(domain), timeout)
+              .flatMap(
+                  found ->
+                      found instanceof ScopeMessage.OrderPlace place
+                          ? ask(new ScopeMessage.SwitchDomain(domain, isOut, place), leftUntil(end))
+                          : Mono.just(found));
+        });
+  }
+
+  private Duration leftUntil(long endMillis) {
+    return Duration.ofMillis(Math.max(1, endMillis - clock.nowMillis()));
+  }
+
   /**
    * Looks for the leader when it is due, and keeps the contact to it fresh.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -69,6 +69,8 @@
   /** Jobs that were proposed here and are not applied yet; of the present term only. */
   private final Set<JobId> proposedJobs = new HashSet<>();
 
+  private final OrderPlaces orderPlaces = new OrderPlaces();
+
   /**
    * What the duty needs of its process.
    *
@@ -243,8 +245,9 @@
     } else if (question instanceof ScopeMessage.AskConfiguration) {
       return Mono.just(configuration());
     } else if (question instanceof ScopeMessage.SwitchDomain order) {
-      events.operatorOrder("domain switch", order.domain() + " out=" + order.isOut());
-      return propose(new ScopeCommand.SwitchDomain(order.domain(), order.isOut()));
+      return switchDomain(order);
+    } else if (question instanceof ScopeMessage.AskOrderPlace ask) {
+      return Mono.just(orderPlaces.present(ask.domain(), log.term()));
     } else if (question instanceof ScopeMessage.Heartbeat heartbeat) {
       scheduler.run(
           EventKind.HEARTBEAT,
@@ -330,6 +333,17 @@
     return propose(new ScopeCommand.Configure(configure.configuration(), configure.content()));
   }
 
+  private Mono<Answer> switchDomain(ScopeMessage.SwitchDomain order) {
+    boolean isOutNow = ledger.domainsOut().contains(order.domain());
+    if (orderPlaces.isOvertaken(order, log.term(), isOutNow)) {
+      events.operatorOrder("domain switch, overtaken", order.domain() + " out=" + order.isOut());
+      return Mono.just(new ScopeMessage.Refused(ScopeRefusal.OVERTAKEN));
+    }
+    events.operatorOrder("domain switch", order.domain() + " out=" + order.isOut());
+    orderPlaces.taken(order);
+    return propose(new ScopeCommand.SwitchDomain(order.domain(), order.isOut()));
+  }
+
   private Answer configuration() {
     return ledger.configuration().isPresent()
         ? new ScopeMessage.Configuration(ledger.content())
@@ -403,6 +417,7 @@
     public void leaderChanged(InstanceId leader, Term term) {
       events.leaderChanged(leader, term);
       proposedJobs.clear();
+      orderPlaces.clear();
       scheduler.leaveOfficeIfDue();
     }
 
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
@@ -4,6 +4,7 @@
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.Term;
 import org.primrosegauge.core.log.ReplicaId;
 import org.primrosegauge.core.scope.JobStatus;
 import org.primrosegauge.core.scope.ScopeConfiguration;
@@ -80,8 +81,23 @@
    *
    * @param domain failure domain
    * @param isOut whether nothing may start there
+   * @param place answer to {@link AskOrderPlace} before it; null when the order is carried out
+   *     whatever came after it
    */
-  record SwitchDomain(FailureDomainId domain, boolean isOut) implements Question {}
+  record SwitchDomain(FailureDomainId domain, boolean isOut, OrderPlace place) implements Question {
+
+    /** Creates an order that is carried out whatever came after it. */
+    public SwitchDomain(FailureDomainId domain, boolean isOut) {
+      this(domain, isOut, null);
+    }
+  }
+
+  /**
+   * Asks for the place of the next order about a failure domain.
+   *
+   * @param domain failure domain
+   */
+  record AskOrderPlace(FailureDomainId domain) implements Read {}
 
   /**
    * Passes a heartbeat on.
@@ -161,6 +177,14 @@
    */
   record Pending(long jobs) implements Answer {}
 
+  /**
+   * Tells how many orders about a failure domain its leader has taken.
+   *
+   * @param term term of the leader
+   * @param number orders about the domain in this term
+   */
+  record OrderPlace(Term term, long number) implements Answer {}
+
   /**
    * Tells the configuration in force.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
@@ -20,6 +20,8 @@
   OVERLOADED,
   /** The job's turn would come when its result is worth nothing any more. */
   BACKLOG,
+  /** A newer order for the same was taken while this one was on its way. */
+  OVERTAKEN,
   /** No leader can be reached. */
   NO_LEADER;
 
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
@@ -246,4 +246,22 @@
       return Mono.just(answer).delayElement(Duration.ofMillis(50));
     }
   }
+
+  /** Guards against an evacuation that comes back after it was taken back, by a late resend. */
+  @Test
+  void lateResendDoesNotUndoANewerOrder() throws Exception {
+    final FailureDomainId domain = new FailureDomainId("d1");
+    final ScopeClient client = instances.get(ENTRY).client();
+    configure();
+    final ScopeMessage.OrderPlace place =
+        askUntil(new ScopeMessage.AskOrderPlace(domain), ScopeMessage.OrderPlace.class);
+    assertThat(client.switchDomain(domain, true, WAIT).block())
+        .isInstanceOf(ScopeMessage.Done.class);
+    assertThat(client.switchDomain(domain, false, WAIT).block())
+        .isInstanceOf(ScopeMessage.Done.class);
+    assertThat(ask(new ScopeMessage.SwitchDomain(domain, true, place)))
+        .isEqualTo(new ScopeMessage.Refused(ScopeRefusal.OVERTAKEN));
+    assertThat(client.switchDomain(domain, true, WAIT).block())
+        .isInstanceOf(ScopeMessage.Done.class);
+  }
 }
