Leases: a look that is sent again to a silent worker renews nothing, so its tasks start elsewhere in time

What callers saw: LOST. It wrote WORKER_SILENT at 8.9 s and nothing more about it for 58 s: no ENDED, no WORKER_GONE.

Cause: each look renews the lease of what runs on a worker and notes the latest end that the lease may have, also when the look is a retry to a worker that does not answer, every 150 ms. So the noted end moved on with the present and was never reached: a worker that ends without its last word, at an address that nobody takes again, kept its tasks for ever. Where something refuses connections at that address, or another worker takes it, the run was freed another way; on the small sites that was always so.

Change: only a look to a worker that answers renews.

Evidence: workOfWorkerThatFellSilentForGoodStartsElsewhereAfterItsLease fails before the change (RUNNING after twice the lease) and passes after it; all Scope*Test and TakeoverLooksTest pass. The case with a change of leader passed before too.

Why it works: a deadline is a time on the worker's clock, so what was granted ends by it however late an order is carried out; nothing is granted after the last look that may still arrive in time to matter.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -96,14 +96,16 @@
   private void look(WorkerSession worker, Present present) {
     long now = present.millis();
     boolean hasRuns = worker.hasOrderedRuns();
-    boolean renews = hasRuns && worker.knowsClock() && !worker.left;
+    // A renewal counts from its sending: one for each retry would keep a lost worker's lease alive.
+    boolean answers = worker.lookFailures == 0;
+    boolean renews = hasRuns && answers && worker.knowsClock() && !worker.left;
     long deadline = renews ? worker.clockAt(now) + state.settings.leaseMillis() : 0;
     worker.longestDeadline = Math.max(worker.longestDeadline, deadline);
     long lastEnd = recorded(worker);
     worker.lookInFlight = true;
     worker.lookSentMillis = now;
     worker.toldEnd = Math.max(worker.toldEnd, lastEnd);
-    boolean waits = hasRuns && worker.confirmed && worker.lookFailures == 0;
+    boolean waits = hasRuns && answers && worker.confirmed;
     state.emit(
         new ScopeAction.Look(
             worker.info.key(),
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
@@ -11,6 +11,7 @@
 import org.primrosegauge.core.scope.JobStatus;
 import org.primrosegauge.core.scope.RunOutcome;
 import org.primrosegauge.core.scope.StepSpec;
+import org.primrosegauge.core.scope.cfg.ScopeSettings;
 
 class ScopeSchedulerTest {
 
@@ -201,4 +202,25 @@
     assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 1);
   }
+
+  /**
+   * LOST on the grown sites: a task stayed for ever with a worker that had ended without a word.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void workOfWorkerThatFellSilentForGoodStartsElsewhereAfterItsLease(boolean leaderChanges) {
+    EmulatedScope world = new EmulatedScope(32, 4, true);
+    world.run(2_000);
+    world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 4_000);
+    world.run(1_000);
+    world.cut("w2", 600_000);
+    world.run(1_000);
+    if (leaderChanges) {
+      world.changeLeader();
+    }
+    long lease = ScopeSettings.DEFAULT.leaseMillis();
+    world.run(2 * lease);
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.checker.violations).isEmpty();
+  }
 }
