Public queues: a job handed in with a key is found without one

What callers could see: 410 for an accepted job, on a public queue, when it was handed in with a key and asked for without. Cause: the job's customer was compared with the caller's whatever the queue.

Change: on a public queue a caller without a key finds all its jobs, as it does those without a customer. Another customer's key still finds nothing.

Refuted by the same test, which passed before the change: a new key of the same customer finds the job after the old one is revoked, and so does the new prefix of a queue that keeps its name.

Evidence: ScopeCallsTest, 1 of 4 fails before, none after. Open: a queue that is removed and comes back under another name does not find its former jobs, and an id that two queues use is one job (ledger by id alone).

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeCalls.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeCalls.java
@@ -65,11 +65,14 @@
     return ledger
         .job(id)
         .filter(entry -> entry.job().queue().equals(call.queue().name()))
-        .filter(entry -> isOwner(entry, call.customer()));
+        .filter(entry -> isVisible(entry, call));
   }
 
-  private static boolean isOwner(JobEntry entry, CustomerId customer) {
-    return entry.job().customer() == null || entry.job().customer().equals(customer);
+  /** On a public queue callers need no key, whether or not they showed one when handing in. */
+  private static boolean isVisible(JobEntry entry, Admitted call) {
+    CustomerId owner = entry.job().customer();
+    boolean needsNoKey = call.queue().isPublic() && call.customer() == null;
+    return owner == null || needsNoKey || owner.equals(call.customer());
   }
 
   /** Returns the job to accept. */
