--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedLoad.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedLoad.java
@@ -153,12 +153,14 @@
   /**
    * Returns what arrives, in the order of time.
    *
+   * @param traffic how many times as much arrives as usual
    * @param lengthMillis time until the last arrival, in milliseconds
    * @since 0.3
    */
-  public static List<Arrival> draw(long seed, EmulatedFleet fleet, long lengthMillis) {
+  public static List<Arrival> draw(
+      long seed, EmulatedFleet fleet, double traffic, long lengthMillis) {
     EmulatedLoad load = new EmulatedLoad(seed, fleet);
-    double scale = (double) fleet.workers() / SHEET_WORKERS;
+    double scale = traffic * fleet.workers() / SHEET_WORKERS;
     for (LoadSheet sheet : LoadSheet.DAY) {
       double perSecond = scale * sheet.perSecond();
       long burstEnd = sheet.burstFromMillis() + sheet.burstMillis();
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/LoadedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/LoadedScope.java
@@ -60,9 +60,20 @@
    * @since 0.3
    */
   public LoadedScope(long seed, int workers, long lengthMillis, EventMeter cost) {
+    this(seed, workers, 1, lengthMillis, cost);
+  }
+
+  /**
+   * Creates a scope whose workers are known to the leader, under more traffic than usual.
+   *
+   * @param traffic how many times as much arrives as usual
+   * @param lengthMillis time until the last arrival, in milliseconds
+   * @since 0.3
+   */
+  public LoadedScope(long seed, int workers, double traffic, long lengthMillis, EventMeter cost) {
     fleet = EmulatedLoad.fleet(workers);
     configuration = EmulatedLoad.configuration(fleet);
-    arrivals = EmulatedLoad.draw(seed, fleet, lengthMillis);
+    arrivals = EmulatedLoad.draw(seed, fleet, traffic, lengthMillis);
     scope = new EmulatedScope(seed, fleet, configuration, cost);
     scope.run(WARM_UP_MILLIS);
     beginMillis = scope.nowMillis();
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeGrownLoadTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeGrownLoadTest.java
@@ -20,10 +20,17 @@
   private static final long LONGEST_HOLE_MILLIS = 3_000;
   private static final int BEGUN_PERCENT = 95;
 
+  /** The event loops take the rest of the leader's core. */
+  private static final EventCost HALF_CORE = new EventCost(60_000, 180, 0.5);
+
   private static LoadedScope scope(long seed) {
     return new LoadedScope(seed, WORKERS, LOAD_MILLIS, EventCost.OF_LEADER);
   }
 
+  private static LoadedScope busyScope(long seed) {
+    return new LoadedScope(seed, WORKERS, 2, LOAD_MILLIS, HALF_CORE);
+  }
+
   /** Deciding that costs what exists saturates the leader's thread on a day without trouble. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
@@ -61,6 +68,24 @@
     check(seed, outcome, missed(outcome, true));
   }
 
+  /** A backlog must not cost the leader, who shares its core, its heartbeats and its leases. */
+  @ParameterizedTest
+  @ValueSource(longs = {8, 9})
+  void twiceTheTrafficLeavesLeaderOnHalfCoreResponsive(long seed) {
+    LoadedOutcome outcome = busyScope(seed).play(PLAY_MILLIS);
+    check(seed, outcome, missed(outcome, true));
+  }
+
+  /** A new leader that finds a backlog must not fall behind for good. */
+  @ParameterizedTest
+  @ValueSource(longs = {10, 11})
+  void takeoverUnderTwiceTheTrafficLeavesNewLeaderResponsive(long seed) {
+    LoadedScope scope = busyScope(seed);
+    scope.trouble(12_000, 2_000, world -> world.loseLeader(2_000));
+    LoadedOutcome outcome = scope.play(PLAY_MILLIS);
+    check(seed, outcome, missed(outcome, false));
+  }
+
   private static void cutSixth(EmulatedScope world) {
     for (int worker = 0; worker < WORKERS; worker += 6) {
       world.cut("w" + worker, 5_500);
