--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/OrderPlacesTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/OrderPlacesTest.java
@@ -27,7 +27,7 @@
   /** Guards against an evacuation that a late resend repeats after it was taken back. */
   @ParameterizedTest
   @CsvSource({"true", "false"})
-  void lateOrderDoesNotUndoANewerOne(boolean isOut) {
+  void lateOrderDoesNotUndoNewerOne(boolean isOut) {
     ScopeMessage.SwitchDomain late = order(isOut, places.present(DOMAIN, TERM));
     take(isOut);
     take(!isOut);
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
@@ -249,7 +249,7 @@
 
   /** Guards against an evacuation that comes back after it was taken back, by a late resend. */
   @Test
-  void lateResendDoesNotUndoANewerOrder() throws Exception {
+  void lateResendDoesNotUndoNewerOrder() throws Exception {
     final FailureDomainId domain = new FailureDomainId("d1");
     final ScopeClient client = instances.get(ENTRY).client();
     configure();
