--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Demand.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Demand.java
@@ -16,6 +16,7 @@
  * @param priority priority of its queue, 0 first
  * @param lateness 0 while its objective can be met, 1 while it counts as late, 2 beyond that
  * @param objectiveMillis time of day by which its job should be done
+ * @param waited how long it has been waiting
  */
 record Demand(
     StepKey key,
@@ -24,7 +25,8 @@
     List<Integer> tasks,
     int priority,
     int lateness,
-    long objectiveMillis) {
+    long objectiveMillis,
+    StepWait waited) {
 
   StepSpec spec() {
     return record.spec();
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
@@ -2,8 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.stream.IntStream;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.Term;
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.Present;
 import org.primrosegauge.core.scope.QueueSpec;
@@ -12,10 +19,14 @@
 import org.primrosegauge.core.scope.StepRecord;
 
 /**
- * Puts the steps that wait for workers in order.
+ * Keeps the steps that wait for workers in order.
  *
  * <p>Answers a burst in which not all jobs can meet their objective: within a priority, jobs that
  * still can come first, the earliest objective first; jobs that are only worth a part follow.
+ *
+ * <p>Only jobs that have changed, or whose time has come, are looked at again.
+ *
+ * <p>Not thread-safe.
  */
 final class DemandQueue {
 
@@ -30,75 +41,168 @@
           .thenComparingInt(demand -> demand.key().occurrence())
           .thenComparingInt(demand -> demand.key().step());
 
+  /** A time at which a job has to be looked at again. */
+  private record Wake(long atMillis, JobId job) {
+
+    static final Comparator<Wake> ORDER =
+        Comparator.comparingLong(Wake::atMillis).thenComparing(Wake::job);
+  }
+
   private final ScopeState state;
+  private final Headroom headroom;
+  private final Map<JobId, List<Demand>> byJob = new HashMap<>();
+  private final TreeSet<Demand> ordered = new TreeSet<>(ORDER);
+  private final TreeSet<Wake> retries = new TreeSet<>(Wake.ORDER);
+  private final TreeSet<Wake> timesOfDay = new TreeSet<>(Wake.ORDER);
+  private Term term = Term.NONE;
+  private Revision revision = Revision.NONE;
 
-  DemandQueue(ScopeState state) {
+  DemandQueue(ScopeState state, Headroom headroom) {
     this.state = state;
+    this.headroom = headroom;
   }
 
-  /** Returns the steps that wait, in the order in which they are to be placed. */
-  List<Demand> waiting(Present present) {
-    List<Demand> found = new ArrayList<>();
-    state.examined(state.ledger.jobs().size());
-    for (JobEntry entry : state.ledger.jobs()) {
-      if (!entry.status().isFinal()) {
-        collect(entry, present, found);
-      }
+  /** Takes in what has changed since the last call. */
+  void update(Present present) {
+    if (!term.equals(state.term)) {
+      restart();
     }
-    found.sort(ORDER);
-    return found;
-  }
-
-  /** Returns when the next occurrence of a waiting job is due; the largest value when none is. */
-  long nextDueMillis(Present present) {
-    long next = Long.MAX_VALUE;
-    state.examined(state.ledger.jobs().size());
-    for (JobEntry entry : state.ledger.jobs()) {
-      Recurrence recurrence = entry.job().recurrence();
-      if (entry.status().isFinal() || recurrence.equals(Recurrence.NONE)) {
-        continue;
-      }
-      for (int number = 0; number < recurrence.occurrences(); number++) {
-        long due = recurrence.dueMillis(number);
-        if (due > present.wallMillis()) {
-          next = Math.min(next, due);
-          break;
-        }
-      }
+    if (!revision.equals(state.ledger.configuration().revision())) {
+      revision = state.ledger.configuration().revision();
+      renewAll();
+    }
+    wake(retries, present.millis());
+    wake(timesOfDay, present.wallMillis());
+    state.examined(state.changedJobs.size());
+    for (JobId job : state.changedJobs) {
+      renew(job, present);
+    }
+    state.changedJobs.clear();
+  }
+
+  /** Looks at all jobs again with the next update. */
+  void renewAll() {
+    state.changedJobs.addAll(byJob.keySet());
+  }
+
+  /** Returns the steps that wait, in the order in which they are to be placed. */
+  SortedSet<Demand> waiting() {
+    return ordered;
+  }
+
+  /** Returns the steps that wait and are placed after another one, in their order. */
+  SortedSet<Demand> waitingAfter(Demand earlier) {
+    return ordered.tailSet(earlier, false);
+  }
+
+  /** Returns the urgent steps up to another one, in their order. */
+  List<Demand> urgentUntil(Demand later) {
+    List<Demand> urgent =
+        ordered.headSet(later, true).stream()
+            .takeWhile(demand -> demand.priority() <= ScopeState.URGENT)
+            .toList();
+    state.examined(urgent.size());
+    return urgent;
+  }
+
+  /** Returns when a job has to be looked at again; the largest value when none has to. */
+  long nextWakeMillis(Present present) {
+    long next = retries.isEmpty() ? Long.MAX_VALUE : retries.first().atMillis();
+    if (!timesOfDay.isEmpty()) {
+      long pause = Math.max(1, timesOfDay.first().atMillis() - present.wallMillis());
+      next = Math.min(next, present.millis() + pause);
     }
     return next;
   }
 
-  private void collect(JobEntry entry, Present present, List<Demand> found) {
+  // Changes
+
+  private void restart() {
+    term = state.term;
+    byJob.clear();
+    ordered.clear();
+    retries.clear();
+    timesOfDay.clear();
+    for (JobEntry entry : state.ledger.openJobs()) {
+      state.changedJobs.add(entry.job().id());
+    }
+  }
+
+  private void wake(TreeSet<Wake> wakes, long nowMillis) {
+    while (!wakes.isEmpty() && wakes.first().atMillis() <= nowMillis) {
+      state.changedJobs.add(wakes.pollFirst().job());
+    }
+  }
+
+  private void renew(JobId id, Present present) {
+    List<Demand> before = byJob.getOrDefault(id, List.of());
+    before.forEach(ordered::remove);
+    JobEntry entry = state.ledger.job(id).orElse(null);
+    if (entry == null || entry.status().isFinal()) {
+      byJob.remove(id);
+      return;
+    }
+    if (!byJob.containsKey(id)) {
+      headroom.noteArrival(entry);
+    }
+    Map<StepKey, StepWait> waits = new HashMap<>();
+    before.forEach(demand -> waits.put(demand.key(), demand.waited()));
+    List<Demand> found = new ArrayList<>();
+    collect(entry, waits, present, found);
+    byJob.put(id, found);
+    ordered.addAll(found);
+  }
+
+  private void collect(
+      JobEntry entry, Map<StepKey, StepWait> waits, Present present, List<Demand> found) {
     Recurrence recurrence = entry.job().recurrence();
+    boolean isOnce = recurrence.equals(Recurrence.NONE);
     for (int number = 0; number < recurrence.occurrences(); number++) {
+      state.examined(1);
       long due = recurrence.dueMillis(number);
-      boolean isDue = recurrence.equals(Recurrence.NONE) || due <= present.wallMillis();
-      if (isDue && !entry.doneOccurrences().contains(number)) {
-        long begin = recurrence.equals(Recurrence.NONE) ? entry.job().submittedMillis() : due;
-        collect(entry, number, begin, present, found);
+      if (!isOnce && due > present.wallMillis()) {
+        timesOfDay.add(new Wake(due, entry.job().id()));
+        return;
+      }
+      if (!entry.doneOccurrences().contains(number)) {
+        long begin = isOnce ? entry.job().submittedMillis() : due;
+        collect(entry, number, begin, waits, present, found);
       }
     }
   }
 
   private void collect(
-      JobEntry entry, int occurrence, long begin, Present present, List<Demand> found) {
+      JobEntry entry,
+      int occurrence,
+      long begin,
+      Map<StepKey, StepWait> waits,
+      Present present,
+      List<Demand> found) {
     List<StepRecord> steps = entry.occurrence(occurrence);
-    QueueSpec queue = state.ledger.configuration().queue(entry.job().queue()).orElse(null);
     for (int number = 0; number < steps.size(); number++) {
       StepRecord step = steps.get(number);
       StepKey key = new StepKey(entry.job().id(), occurrence, number);
       boolean isReady =
           !step.isDone()
               && step.spec().dependsOn().stream().allMatch(earlier -> steps.get(earlier).isDone())
-              && state.notBefore.getOrDefault(key, 0L) <= present.millis();
+              && !isPaused(key, present.millis());
       List<Integer> tasks = isReady ? openTasks(key, step) : List.of();
       if (!tasks.isEmpty()) {
-        found.add(demand(entry, key, step, tasks, begin, queue, present));
+        StepWait wait = waits.getOrDefault(key, new StepWait(present.millis()));
+        found.add(demand(entry, key, step, tasks, begin, wait, present.wallMillis()));
       }
     }
   }
 
+  private boolean isPaused(StepKey key, long nowMillis) {
+    long until = state.notBefore.getOrDefault(key, 0L);
+    if (until <= nowMillis) {
+      return false;
+    }
+    retries.add(new Wake(until, key.job()));
+    return true;
+  }
+
   /** A gang needs workers for all members or for none. */
   private List<Integer> openTasks(StepKey key, StepRecord step) {
     boolean isGangBusy = step.spec().gang() && (step.isOpen() || state.isProposed(key));
@@ -119,19 +223,21 @@
       StepRecord step,
       List<Integer> tasks,
       long begin,
-      QueueSpec queue,
-      Present present) {
+      StepWait wait,
+      long wallMillis) {
+    QueueSpec queue = state.ledger.configuration().queue(entry.job().queue()).orElse(null);
     double slack = queue == null ? 1 : queue.slackFactor();
     long latency = queue == null ? 0 : queue.latencyMillis();
     int priority = queue == null ? Integer.MAX_VALUE : queue.priority();
     long allowed = (long) (slack * entry.job().chainMillis()) + latency;
     long rest = step.spec().estimatedMillis();
-    long objective = begin + allowed;
-    int lateness = 0;
-    if (present.wallMillis() + rest > objective) {
-      boolean isLate = present.wallMillis() + rest <= begin + LATE_FACTOR * allowed;
-      lateness = isLate ? 1 : 2;
+    long lateFrom = begin + allowed - rest;
+    long worthlessFrom = begin + LATE_FACTOR * allowed - rest;
+    int lateness = wallMillis <= lateFrom ? 0 : wallMillis <= worthlessFrom ? 1 : 2;
+    if (lateness < 2) {
+      long changesAt = 1 + (lateness == 0 ? lateFrom : worthlessFrom);
+      timesOfDay.add(new Wake(changesAt, key.job()));
     }
-    return new Demand(key, entry, step, tasks, priority, lateness, objective);
+    return new Demand(key, entry, step, tasks, priority, lateness, begin + allowed, wait);
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/GangHolds.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/GangHolds.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.StepKey;
 
 /**
  * Keeps workers free for gangs that wait, until enough runs there have ended.
@@ -14,21 +16,47 @@
  * its slots at once. What is ranked behind such a gang may use its workers only if it ends before
  * the gang can start: conservative backfilling.
  *
- * <p>Not thread-safe; holds last for one pass of the planner.
+ * <p>Not thread-safe; holds last until the planner begins at the first gang again.
  */
 final class GangHolds {
 
   private static final int MAX_HOLDS = 4;
 
+  /** Time for which the choice of a gang's workers stands, in milliseconds. */
+  private static final long CHOICE_MILLIS = 200;
+
   private record Slot(WorkerSession worker, long atMillis) {}
 
+  /** The workers chosen for a gang; none when it fits on no group. */
+  private record Choice(List<Slot> slots, int tasks, long madeMillis) {
+
+    boolean isFor(Demand gang, long nowMillis) {
+      return tasks == gang.tasks().size() && nowMillis < madeMillis + CHOICE_MILLIS;
+    }
+  }
+
+  private final ScopeState state;
+  private final Map<StepKey, Choice> choices = new HashMap<>();
   private final Map<WorkerSession, Long> heldUntil = new HashMap<>();
   private int holds;
 
-  /** Forgets all holds. */
-  void clear() {
+  GangHolds(ScopeState state) {
+    this.state = state;
+  }
+
+  /** Forgets all that was chosen before. */
+  void restart() {
+    choices.clear();
+    heldUntil.clear();
+    holds = 0;
+  }
+
+  /** Releases all workers. */
+  void clear(long nowMillis) {
     heldUntil.clear();
     holds = 0;
+    state.examined(choices.size());
+    choices.values().removeIf(choice -> nowMillis >= choice.madeMillis() + CHOICE_MILLIS);
   }
 
   /** Tells whether a worker is kept from a demand that is ranked behind the gang that it is for. */
@@ -37,50 +65,66 @@
     return until != null && nowMillis + demand.spec().estimatedMillis() > until;
   }
 
-  /** Holds workers of the group on which a gang can start soonest. */
-  void hold(Demand gang, List<List<WorkerSession>> groups, long nowMillis) {
+  /**
+   * Holds workers of the group on which a gang can start soonest.
+   *
+   * @param groups workers of which one group has to hold the whole gang
+   */
+  void hold(Demand gang, Supplier<List<List<WorkerSession>>> groups, long nowMillis) {
     if (holds >= MAX_HOLDS) {
       return;
     }
-    List<Slot> best = null;
-    for (List<WorkerSession> group : groups) {
-      List<Slot> slots = soonestSlots(gang, group, nowMillis);
-      boolean isSooner = slots != null && (best == null || startOf(slots) < startOf(best));
-      best = isSooner ? slots : best;
+    Choice choice = choices.get(gang.key());
+    if (choice == null || !choice.isFor(gang, nowMillis)) {
+      List<Slot> slots = choose(gang, groups.get(), nowMillis);
+      choice = new Choice(slots, gang.tasks().size(), nowMillis);
+      choices.put(gang.key(), choice);
     }
-    if (best == null) {
+    if (choice.slots().isEmpty()) {
       return;
     }
     holds++;
-    long start = startOf(best);
-    best.forEach(slot -> heldUntil.merge(slot.worker(), start, Math::max));
+    long start = startOf(choice.slots());
+    state.examined(choice.slots().size());
+    choice.slots().forEach(slot -> heldUntil.merge(slot.worker(), start, Math::max));
+  }
+
+  private List<Slot> choose(Demand gang, List<List<WorkerSession>> groups, long nowMillis) {
+    List<Slot> best = List.of();
+    for (List<WorkerSession> group : groups) {
+      List<Slot> slots = soonestSlots(gang, group, nowMillis);
+      boolean isSooner = !slots.isEmpty() && (best.isEmpty() || startOf(slots) < startOf(best));
+      best = isSooner ? slots : best;
+    }
+    return best;
   }
 
   private static long startOf(List<Slot> slots) {
     return slots.get(slots.size() - 1).atMillis();
   }
 
-  /** Returns the slots for all tasks that come free first, in their order; null if too few do. */
-  private static List<Slot> soonestSlots(Demand gang, List<WorkerSession> group, long nowMillis) {
+  /** Returns the slots for all tasks that come free first, in their order; none if too few do. */
+  private List<Slot> soonestSlots(Demand gang, List<WorkerSession> group, long nowMillis) {
     List<Slot> slots = new ArrayList<>();
     for (WorkerSession worker : group) {
       addSlots(gang, worker, nowMillis, slots);
     }
     int wanted = gang.tasks().size();
     if (slots.size() < wanted) {
-      return null;
+      return List.of();
     }
     slots.sort(Comparator.comparingLong(Slot::atMillis));
-    return slots.subList(0, wanted);
+    return List.copyOf(slots.subList(0, wanted));
   }
 
-  private static void addSlots(
-      Demand gang, WorkerSession worker, long nowMillis, List<Slot> slots) {
+  private void addSlots(Demand gang, WorkerSession worker, long nowMillis, List<Slot> slots) {
+    state.examined(1 + worker.runs.size());
     List<RunControl> runs = new ArrayList<>(worker.runs.values());
     runs.sort(Comparator.comparingLong(run -> run.remainingMillis(nowMillis)));
     Resources ended = Resources.NONE;
     Resources task = gang.spec().task();
     int most = gang.spec().maxPerWorker() == 0 ? Integer.MAX_VALUE : gang.spec().maxPerWorker();
+    most = Math.min(most, gang.tasks().size());
     int found = 0;
     long at = nowMillis;
     for (int next = 0; next <= runs.size(); next++) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Headroom.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Headroom.java
@@ -1,11 +1,9 @@
 package org.primrosegauge.core.scope.impl;
 
-import java.util.Collection;
-import java.util.Comparator;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.primrosegauge.core.ServiceId;
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.Present;
@@ -35,56 +33,72 @@
   /** Part of the time until its objective for which a small task may be kept waiting. */
   private static final double PATIENCE = 0.5;
 
-  /** Pause after which the choice is made again, in milliseconds, while tasks are kept waiting. */
-  private static final long RENEW_MILLIS = 500;
+  /** Pause after which waiting tasks are tried again, in milliseconds, while any is kept back. */
+  private static final long RETRY_MILLIS = 500;
 
   private final ScopeState state;
+  private final RoomIndex index;
+  private final Deque<ScopeJob> arrivals = new ArrayDeque<>();
   private final Set<WorkerSession> kept = new HashSet<>();
+  private boolean isChosen;
   private boolean hasKept;
 
-  Headroom(ScopeState state) {
+  Headroom(ScopeState state, RoomIndex index) {
     this.state = state;
+    this.index = index;
   }
 
-  /**
-   * Chooses the workers to keep free.
-   *
-   * @param open workers that may get something new
-   */
-  void renew(Collection<WorkerSession> open, Present present) {
-    kept.clear();
+  /** Notes a job that has been accepted. */
+  void noteArrival(JobEntry entry) {
+    if (isExpected(state.priorityOf(entry), entry.job().steps().get(0))) {
+      arrivals.addLast(entry.job());
+    }
+  }
+
+  /** Releases all workers; others are chosen when the first small task asks for one. */
+  void renew() {
     hasKept = false;
-    open.stream()
-        .collect(Collectors.groupingBy(worker -> worker.info.pool()))
-        .forEach((pool, workers) -> keep(pool, workers, present));
+    isChosen = false;
+    kept.clear();
+  }
+
+  private void choose(Present present) {
+    isChosen = true;
+    long since = present.wallMillis() - WINDOW_MILLIS;
+    state.examined(arrivals.size());
+    arrivals.removeIf(job -> job.submittedMillis() <= since);
+    for (ServiceId pool : index.pools()) {
+      keep(pool, index.workers(pool, ""));
+    }
   }
 
-  private void keep(ServiceId pool, List<WorkerSession> workers, Present present) {
-    int accelerators =
-        workers.stream().mapToInt(worker -> worker.info.capacity().accelerators()).sum();
+  private void keep(ServiceId pool, RoomIndex.Group workers) {
+    int accelerators = workers.capacity().accelerators();
     if (accelerators == 0) {
       return;
     }
-    state.examined(2 * workers.size());
-    double share = Math.min(MOST_SHARE, expectedAccelerators(pool, present) / accelerators);
-    workers.stream()
-        .sorted(
-            Comparator.comparingInt((WorkerSession worker) -> -worker.free().accelerators())
-                .thenComparingLong(worker -> -worker.free().milliCores()))
-        .limit(Math.round(share * workers.size()))
-        .forEach(kept::add);
+    double share = Math.min(MOST_SHARE, expectedAccelerators(pool) / accelerators);
+    int count = (int) Math.round(share * workers.size());
+    state.examined(count);
+    kept.addAll(workers.emptiest(count));
   }
 
   /** Tells whether a worker is kept from a demand. */
   boolean keepsFrom(Demand demand, WorkerSession worker, Present present) {
-    boolean isKept = kept.contains(worker) && canWait(demand, present);
+    if (!canWait(demand, present)) {
+      return false;
+    }
+    if (!isChosen) {
+      choose(present);
+    }
+    boolean isKept = kept.contains(worker);
     hasKept |= isKept;
     return isKept;
   }
 
-  /** Returns when the choice is to be made again; the largest value when nothing is kept back. */
-  long nextRenewalMillis(Present present) {
-    return hasKept ? present.millis() + RENEW_MILLIS : Long.MAX_VALUE;
+  /** Returns when waiting tasks are to be tried again; the largest value when none is kept back. */
+  long nextRetryMillis(Present present) {
+    return hasKept ? present.millis() + RETRY_MILLIS : Long.MAX_VALUE;
   }
 
   private static boolean canWait(Demand demand, Present present) {
@@ -94,15 +108,12 @@
   }
 
   /** Returns the accelerators that urgent jobs and gangs are likely to ask for soon. */
-  private double expectedAccelerators(ServiceId pool, Present present) {
-    long since = present.wallMillis() - WINDOW_MILLIS;
+  private double expectedAccelerators(ServiceId pool) {
     double asked = 0;
-    state.examined(state.ledger.jobs().size());
-    for (JobEntry entry : state.ledger.jobs()) {
-      ScopeJob job = entry.job();
+    state.examined(arrivals.size());
+    for (ScopeJob job : arrivals) {
       StepSpec first = job.steps().get(0);
-      boolean isRecent = job.submittedMillis() > since && job.pool().equals(pool);
-      if (isRecent && isExpected(state.priorityOf(entry), first)) {
+      if (job.pool().equals(pool)) {
         asked += (double) first.task().accelerators() * first.count();
       }
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.primrosegauge.core.Term;
 import org.primrosegauge.core.scope.Placement;
 import org.primrosegauge.core.scope.Present;
 import org.primrosegauge.core.scope.RunId;
@@ -14,6 +15,9 @@
 /**
  * Gives waiting steps their workers, in order, and makes room for urgent ones.
  *
+ * <p>A pass that has looked at much ends early, so that it does not hold its thread for long; the
+ * next call goes on where it ended, urgent work first.
+ *
  * <p>Not thread-safe.
  */
 final class Planner {
@@ -24,25 +28,49 @@
   /** Wait for a near place before a far one is taken, as a share of the estimated run time. */
   private static final int PATIENCE_PERCENT = 100;
 
+  /** Workers, runs, jobs and tasks that a pass looks at before it ends early. */
+  private static final long MOST_EXAMINED = 15_000;
+
   private final ScopeState state;
   private final RunOrders orders;
+  private final RoomIndex index;
+  private final Headroom headroom;
   private final DemandQueue queue;
   private final GangHolds holds;
-  private final Headroom headroom;
   private final Placer placer;
   private final RoomMaker roomMaker;
+  private Term term = Term.NONE;
+  private Demand lastPlanned;
   private long nextRetryMillis = Long.MAX_VALUE;
 
   Planner(ScopeState state, RunOrders orders) {
     this.state = state;
     this.orders = orders;
-    this.queue = new DemandQueue(state);
-    this.holds = new GangHolds();
-    this.headroom = new Headroom(state);
-    this.placer = new Placer(state, holds, headroom);
+    this.index = new RoomIndex(state);
+    this.headroom = new Headroom(state, index);
+    this.queue = new DemandQueue(state, headroom);
+    this.holds = new GangHolds(state);
+    this.placer = new Placer(state, index, holds, headroom);
     this.roomMaker = new RoomMaker(state, placer);
   }
 
+  /** Notes which jobs a command that the ledger has applied concerns. */
+  void noteApplied(ScopeCommand command) {
+    if (command instanceof ScopeCommand.Submit submit) {
+      state.changedJobs.add(submit.job().id());
+    } else if (command instanceof ScopeCommand.Cancel cancel) {
+      state.changedJobs.add(cancel.job());
+    } else if (command instanceof ScopeCommand.Place place) {
+      place.placements().forEach(each -> state.changedJobs.add(each.run().task().job()));
+    } else if (command instanceof ScopeCommand.RecordEnds ends) {
+      ends.ends().forEach(end -> state.changedJobs.add(end.run().task().job()));
+    } else if (command instanceof ScopeCommand.SeeWorker
+        || command instanceof ScopeCommand.ForgetWorker) {
+      // The ledger has ended all runs of a lifetime that is over.
+      queue.renewAll();
+    }
+  }
+
   /** Plans if anything has changed that may let a step start. */
   void run(Present present) {
     boolean isDue = present.millis() >= nextRetryMillis;
@@ -51,26 +79,73 @@
     }
     state.dirty = false;
     nextRetryMillis = Long.MAX_VALUE;
-    holds.clear();
-    headroom.renew(placer.open(present.millis()), present);
+    begin(present);
     List<Placement> placements = new ArrayList<>();
     redeemReservations(placements, present);
-    for (Demand demand : queue.waiting(present)) {
-      if (!state.reservations.containsKey(demand.key())) {
-        plan(demand, placements, present);
-      }
-    }
+    queue.update(present);
+    headroom.renew();
+    planWaiting(placements, present);
     if (!placements.isEmpty()) {
       state.propose(new ScopeCommand.Place(placements));
     }
     noteRetries(present);
   }
 
+  private void begin(Present present) {
+    if (!term.equals(state.term)) {
+      term = state.term;
+      lastPlanned = null;
+      roomMaker.clear();
+      holds.restart();
+    }
+    index.refresh(present.millis());
+  }
+
+  // Waiting steps
+
+  private void planWaiting(List<Placement> placements, Present present) {
+    long limit = state.examined() + MOST_EXAMINED;
+    Demand earlier = lastPlanned;
+    if (earlier == null) {
+      holds.clear(present.millis());
+      lastPlanned = planAll(queue.waiting(), limit, placements, present);
+      return;
+    }
+    // Urgent work that has come meanwhile goes first and leaves the rest its half.
+    planAll(queue.urgentUntil(earlier), limit - MOST_EXAMINED / 2, placements, present);
+    lastPlanned = planAll(queue.waitingAfter(earlier), limit, placements, present);
+    // What has changed meanwhile may matter to the steps before.
+    state.dirty = true;
+  }
+
+  /**
+   * Plans steps in their order until the pass has looked at enough.
+   *
+   * @return last step that was planned; null when all were
+   */
+  private Demand planAll(
+      Iterable<Demand> demands, long limit, List<Placement> placements, Present present) {
+    Demand last = null;
+    for (Demand demand : demands) {
+      if (last != null && state.examined() > limit) {
+        return last;
+      }
+      state.examined(1);
+      if (!state.reservations.containsKey(demand.key())) {
+        plan(demand, placements, present);
+      }
+      last = demand;
+    }
+    return null;
+  }
+
   private void plan(Demand demand, List<Placement> placements, Present present) {
     long now = present.millis();
-    boolean isNearOnly = wantsNear(demand) && !placer.nearGroups(demand, now).isEmpty();
+    boolean isNearOnly = wantsNear(demand) && placer.canBeNear(demand, now);
     List<WorkerSession> workers =
-        isNearOnly ? placer.placeNear(demand, present) : placer.placeAnywhere(demand, present);
+        isNearOnly
+            ? placer.placeNear(demand, false, present)
+            : placer.placeAnywhere(demand, false, present);
     if (workers.isEmpty() && isNearOnly && mayMakeRoom(demand)) {
       Optional<Reservation> room = roomMaker.makeRoomNear(demand, now);
       if (room.isPresent()) {
@@ -79,7 +154,7 @@
       }
     }
     if (workers.isEmpty() && isNearOnly && mayGoFar(demand, now)) {
-      workers = placer.placeAnywhere(demand, present);
+      workers = placer.placeAnywhere(demand, false, present);
       isNearOnly = false;
     }
     if (workers.isEmpty() && !isNearOnly && mayMakeRoom(demand)) {
@@ -92,18 +167,20 @@
     if (!workers.isEmpty()) {
       commit(demand, workers, placements, present);
     } else if (demand.spec().gang() && demand.lateness() <= WORTH_HOLDING) {
-      List<List<WorkerSession>> groups = placer.nearGroups(demand, now);
-      groups.forEach(group -> state.examined(group.size()));
-      holds.hold(demand, groups, now);
+      holds.hold(demand, () -> placer.workersNear(demand, now), now);
     }
   }
 
+  private void retryAt(long millis) {
+    nextRetryMillis = Math.min(nextRetryMillis, millis);
+  }
+
   private void commit(
       Demand demand, List<WorkerSession> workers, List<Placement> placements, Present present) {
     for (int i = 0; i < workers.size(); i++) {
       commitTask(demand, demand.tasks().get(i), workers.get(i), placements, present);
     }
-    state.farAllowedAt.remove(demand.key());
+    demand.waited().restart(present.millis());
     report(demand, workers);
   }
 
@@ -121,7 +198,10 @@
    */
   private boolean mayGoFar(Demand demand, long nowMillis) {
     long patience = demand.spec().estimatedMillis() * PATIENCE_PERCENT / 100;
-    long allowedAt = state.farAllowedAt.computeIfAbsent(demand.key(), key -> nowMillis + patience);
+    long allowedAt = demand.waited().sinceMillis() + patience;
+    if (nowMillis < allowedAt) {
+      retryAt(allowedAt);
+    }
     return demand.priority() == ScopeState.URGENT || nowMillis >= allowedAt;
   }
 
@@ -195,9 +275,10 @@
 
   private void redeem(Reservation reservation, List<Placement> placements, Present present) {
     Demand demand = reservation.demand();
-    List<WorkerSession> usable = placer.usable(demand, present.millis());
     List<WorkerSession> workers = reservation.workers();
-    boolean isIntact = usable.containsAll(workers);
+    state.examined(workers.size());
+    boolean isIntact =
+        workers.stream().allMatch(worker -> placer.isUsable(worker, demand, present.millis()));
     if (!isIntact) {
       return;
     }
@@ -227,32 +308,18 @@
   }
 
   private void noteRetries(Present present) {
-    long next = headroom.nextRenewalMillis(present);
-    for (long time : state.notBefore.values()) {
-      if (time > present.millis()) {
-        next = Math.min(next, time);
-      }
-    }
-    state.notBefore.values().removeIf(time -> time <= present.millis());
-    state.farAllowedAt.keySet().removeIf(step -> state.ledger.step(step) == null);
-    for (long time : state.farAllowedAt.values()) {
-      if (time > present.millis()) {
-        next = Math.min(next, time);
-      }
+    long now = present.millis();
+    if (lastPlanned != null) {
+      retryAt(now);
     }
+    retryAt(headroom.nextRetryMillis(present));
+    retryAt(roomMaker.nextRetryMillis(now));
+    retryAt(index.nextRefreshMillis(now));
+    state.examined(state.notBefore.size() + state.reservations.size());
+    state.notBefore.values().removeIf(time -> time <= now);
     for (Reservation reservation : state.reservations.values()) {
-      next = Math.min(next, reservation.untilMillis());
-    }
-    state.examined(state.sessions.size());
-    for (WorkerSession worker : state.sessions.values()) {
-      if (worker.asideUntilMillis > present.millis()) {
-        next = Math.min(next, worker.asideUntilMillis);
-      }
-    }
-    long due = queue.nextDueMillis(present);
-    if (due != Long.MAX_VALUE) {
-      next = Math.min(next, present.millis() + Math.max(1, due - present.wallMillis()));
+      retryAt(reservation.untilMillis());
     }
-    nextRetryMillis = next;
+    retryAt(queue.nextWakeMillis(present));
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Reservation.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Reservation.java
@@ -11,6 +11,7 @@
  * @param workers a worker for each task of the demand, in its order
  * @param victims runs that have to end first
  * @param cost unsaved work of the victims, in core-seconds, and what their priority adds
+ * @param isNear whether the room is near to the data, or on one rack, as the step would have it
  * @param untilMillis time after which the room is given up
  */
 record Reservation(
@@ -18,4 +19,5 @@
     List<WorkerSession> workers,
     Set<RunId> victims,
     double cost,
+    boolean isNear,
     long untilMillis) {}
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
@@ -1,19 +1,17 @@
 package org.primrosegauge.core.scope.impl;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.scope.RunId;
-import org.primrosegauge.core.scope.StepKey;
 import org.primrosegauge.core.scope.StepSpec;
 
 /**
@@ -22,6 +20,10 @@
  * <p>Answers a burst of priority 0 on a full fleet, and a claim of guaranteed accelerators that
  * others have borrowed: the runs with the least unsaved work give way, a gang as a whole. Work of
  * priority 0 that is within its customer's guarantee never gives way.
+ *
+ * <p>Each worker is looked at once for a demand, and again only after a choice that concerns it.
+ *
+ * <p>Not thread-safe.
  */
 final class RoomMaker {
 
@@ -31,27 +33,32 @@
    */
   private static final double MOST_LOST = 3.0;
 
-  /** Time that a stop and a later start cost a run beside its unsaved work, in seconds. */
-  private static final double RESTART_SECONDS = 0.6;
-
-  /** A gang that is stopped has to gather all its workers again. */
-  private static final double GANG_FACTOR = 2.0;
-
   /** Added to the cost of a worker far from the data, in core-seconds. */
   private static final double FAR_COST = 1_000;
 
-  /** Added to the cost of stopping urgent work, in core-seconds: it gives way last. */
-  private static final double URGENT_VICTIM_COST = 100_000;
+  /** A worker for a task and the runs that have to end there first. */
+  private record Offer(WorkerSession worker, int number, Set<RunControl> victims, double cost) {
 
-  /** A worker with the tasks it can take and the runs that have to end there first. */
-  private record Offer(WorkerSession worker, Set<RunControl> victims, double cost) {}
+    static final Comparator<Offer> ORDER =
+        Comparator.comparingDouble(Offer::cost).thenComparingInt(Offer::number);
+  }
 
   private final ScopeState state;
   private final Placer placer;
+  private final Victims victims;
+  private final RoomFailures failures;
 
   RoomMaker(ScopeState state, Placer placer) {
     this.state = state;
     this.placer = placer;
+    this.victims = new Victims(state);
+    this.failures = new RoomFailures(state);
+  }
+
+  /** Forgets what earlier attempts found. */
+  void clear() {
+    victims.clear();
+    failures.clear();
   }
 
   /**
@@ -59,37 +66,46 @@
    * none can be made.
    */
   Optional<Reservation> makeRoomNear(Demand demand, long nowMillis) {
-    Guarantees guarantees = new Guarantees(demand);
-    return placer.nearGroups(demand, nowMillis).stream()
-        .map(group -> makeRoom(demand, group, guarantees, nowMillis))
-        .flatMap(Optional::stream)
-        .min(Comparator.comparingDouble(Reservation::cost));
+    return makeRoomIn(placer.nearGroups(demand), demand, true, nowMillis);
   }
 
   /** Returns room for all tasks of a demand, or nothing where none can be made. */
   Optional<Reservation> makeRoom(Demand demand, long nowMillis) {
-    return makeRoom(demand, placer.usable(demand, nowMillis), new Guarantees(demand), nowMillis);
+    return makeRoomIn(List.of(placer.anywhere(demand)), demand, false, nowMillis);
   }
 
-  private Optional<Reservation> makeRoom(
-      Demand demand, List<WorkerSession> usable, Guarantees guarantees, long nowMillis) {
-    Draft draft = new Draft(demand, guarantees, nowMillis);
-    for (int i = 0; i < demand.tasks().size(); i++) {
-      state.examined(usable.size());
-      Optional<Offer> best =
-          usable.stream()
-              .map(draft::offer)
-              .flatMap(Optional::stream)
-              .min(Comparator.comparingDouble(Offer::cost));
-      if (best.isEmpty()) {
-        return Optional.empty();
-      }
-      draft.take(best.get());
+  /** Returns when attempts that were left out are due; the largest value when none was. */
+  long nextRetryMillis(long nowMillis) {
+    return failures.nextRetryMillis(nowMillis);
+  }
+
+  private Optional<Reservation> makeRoomIn(
+      List<RoomIndex.Group> groups, Demand demand, boolean isNear, long nowMillis) {
+    Guarantees guarantees = new Guarantees(demand);
+    RoomFailures.Shape shape =
+        RoomFailures.shapeOf(demand, isNear, guarantees.isWithin ? guarantees.claimant : null);
+    double mostLost = guarantees.isWithin ? Double.MAX_VALUE : MOST_LOST * workOf(demand);
+    if (failures.isKnown(shape, demand, mostLost, nowMillis)) {
+      return Optional.empty();
+    }
+    Draft best = null;
+    int held = 0;
+    for (RoomIndex.Group group : groups) {
+      Draft draft = new Draft(demand, guarantees, nowMillis);
+      draft.fill(group);
+      held = Math.max(held, draft.chosen.size());
+      boolean isBetter = draft.isWhole() && (best == null || draft.cost < best.cost);
+      best = isBetter ? draft : best;
     }
-    if (!guarantees.isWithin && draft.cost > MOST_LOST * workOf(demand)) {
+    if (best == null) {
+      failures.noteImpossible(shape, demand, held + 1, nowMillis);
       return Optional.empty();
     }
-    return Optional.of(draft.reservation());
+    if (best.cost > mostLost) {
+      failures.noteTooDear(shape, demand, best.cost, nowMillis);
+      return Optional.empty();
+    }
+    return Optional.of(best.reservation(isNear));
   }
 
   /** Returns the work that a demand is estimated to do, in core-seconds. */
@@ -114,7 +130,9 @@
     private final long nowMillis;
     private final Map<WorkerSession, Resources> freed = new HashMap<>();
     private final Map<WorkerSession, Integer> counts = new HashMap<>();
-    private final Set<RunControl> victims = new LinkedHashSet<>();
+    private final Map<WorkerSession, Offer> offers = new HashMap<>();
+    private final PriorityQueue<Offer> byCost = new PriorityQueue<>(Offer.ORDER);
+    private final Set<RunControl> stopped = new LinkedHashSet<>();
     private final List<WorkerSession> chosen = new ArrayList<>();
     private double cost;
 
@@ -124,57 +142,113 @@
       this.nowMillis = nowMillis;
     }
 
-    Reservation reservation() {
+    /** Takes the cheapest offers of a group until all tasks have a worker or none is left. */
+    void fill(RoomIndex.Group group) {
+      Resources all = times(demand.spec().task(), demand.tasks().size());
+      state.examined(1);
+      if (!all.fitsIn(group.capacity())) {
+        return;
+      }
+      int number = 0;
+      for (WorkerSession worker : group.members()) {
+        state.examined(1);
+        if (placer.isUsable(worker, demand, nowMillis)) {
+          renew(worker, number);
+          number++;
+        }
+      }
+      while (!isWhole() && !byCost.isEmpty()) {
+        Offer offer = byCost.poll();
+        if (offers.get(offer.worker()) == offer) {
+          take(offer);
+        }
+      }
+    }
+
+    boolean isWhole() {
+      return chosen.size() == demand.tasks().size();
+    }
+
+    Reservation reservation(boolean isNear) {
       Set<RunId> ids = new LinkedHashSet<>();
-      victims.forEach(victim -> ids.add(victim.id));
+      stopped.forEach(victim -> ids.add(victim.id));
       long until = nowMillis + 2 * state.settings.stopTimeoutMillis() + state.settings.lookMillis();
-      return new Reservation(demand, chosen, ids, cost, until);
+      return new Reservation(demand, chosen, ids, cost, isNear, until);
     }
 
-    /** Notes what an offer takes, for the offers to the tasks after it. */
-    void take(Offer offer) {
+    /** Notes what an offer takes, and renews the offers of the workers that it concerns. */
+    private void take(Offer offer) {
+      Set<WorkerSession> concerned = new LinkedHashSet<>();
+      concerned.add(offer.worker());
       for (RunControl victim : offer.victims()) {
-        if (victims.add(victim)) {
+        if (stopped.add(victim)) {
           freed.merge(victim.worker, victim.spec.task(), Resources::plus);
+          concerned.add(victim.worker);
         }
       }
       counts.merge(offer.worker(), 1, Integer::sum);
       chosen.add(offer.worker());
       cost += offer.cost();
+      state.examined(concerned.size());
+      for (WorkerSession worker : concerned) {
+        Offer before = offers.get(worker);
+        if (before != null) {
+          renew(worker, before.number());
+        }
+      }
     }
 
-    /** Returns what room for one more task costs on a worker; empty where none can be made. */
-    Optional<Offer> offer(WorkerSession worker) {
+    private void renew(WorkerSession worker, int number) {
+      Offer offer = offer(worker, number);
+      if (offer == null) {
+        offers.remove(worker);
+      } else {
+        offers.put(worker, offer);
+        byCost.add(offer);
+      }
+    }
+
+    /** Returns what room for one more task costs on a worker; null where none can be made. */
+    private Offer offer(WorkerSession worker, int number) {
       StepSpec spec = demand.spec();
       int before = counts.getOrDefault(worker, 0);
-      boolean isAtLimit =
-          spec.maxPerWorker() > 0 && worker.tasksOf(demand.key()) + before >= spec.maxPerWorker();
+      boolean isAtLimit = spec.maxPerWorker() > 0 && isAtLimit(worker, before);
       Resources need = times(spec.task(), before + 1);
       Set<RunControl> extra = new LinkedHashSet<>();
       double lost = isAtLimit ? Double.NaN : makeFit(worker, need, extra);
       if (Double.isNaN(lost)) {
-        return Optional.empty();
+        return null;
       }
       boolean isFar = Placer.isFarFromData(spec, worker);
       double spare = worker.free().accelerators() / 1_000.0;
-      return Optional.of(new Offer(worker, extra, lost + (isFar ? FAR_COST : 0) + spare));
+      return new Offer(worker, number, extra, lost + (isFar ? FAR_COST : 0) + spare);
+    }
+
+    private boolean isAtLimit(WorkerSession worker, int before) {
+      return worker.tasksOf(demand.key()) + before >= demand.spec().maxPerWorker();
     }
 
     /** Collects the runs that have to end; returns their cost, or NaN when that is not enough. */
     private double makeFit(WorkerSession worker, Resources need, Set<RunControl> extra) {
       Resources ended = freed.getOrDefault(worker, Resources.NONE);
-      double lost = 0;
       if (worker.fitsWithout(need, ended)) {
-        return lost;
+        return 0;
       }
-      for (RunControl candidate : candidates(worker)) {
-        if (extra.contains(candidate)) {
+      Victims.OnWorker here = victims.on(worker, nowMillis);
+      Resources most = guarantees.isWithin ? here.most() : here.mostNotUrgent();
+      if (!worker.fitsWithout(need, ended.plus(most))) {
+        return Double.NaN;
+      }
+      double lost = 0;
+      for (Victims.Victim victim : here.byCost()) {
+        state.examined(1);
+        boolean mayStop = victim.isStoppable() && !stopped.contains(victim.run());
+        if (!mayStop || extra.contains(victim.run()) || !guarantees.mayStop(victim)) {
           continue;
         }
-        Collection<RunControl> together = state.stoppedWith(candidate);
-        lost += guarantees.costOf(together, nowMillis);
-        for (RunControl run : together) {
-          boolean isNew = !victims.contains(run) && extra.add(run);
+        lost += victim.cost();
+        for (RunControl run : victim.together()) {
+          boolean isNew = !stopped.contains(run) && extra.add(run);
           if (isNew && run.worker == worker) {
             ended = ended.plus(run.spec.task());
           }
@@ -185,25 +259,6 @@
       }
       return Double.NaN;
     }
-
-    private List<RunControl> candidates(WorkerSession worker) {
-      Map<StepKey, Double> costs = new LinkedHashMap<>();
-      List<RunControl> found = new ArrayList<>();
-      state.examined(worker.runs.size());
-      for (RunControl run : worker.runs.values()) {
-        boolean mayStop = run.isRunning() && !run.stopWanted && !victims.contains(run);
-        if (mayStop && guarantees.mayStop(run)) {
-          found.add(run);
-          costs.computeIfAbsent(
-              run.id.task().stepKey(),
-              step -> guarantees.costOf(state.stoppedWith(run), nowMillis));
-        }
-      }
-      found.sort(
-          Comparator.comparingDouble(
-              run -> costs.get(run.id.task().stepKey()) / Math.max(1, run.weight())));
-      return found;
-    }
   }
 
   /** Which runs may be stopped for a demand, by priority and by the customers' guarantees. */
@@ -211,43 +266,24 @@
 
     private final CustomerId claimant;
     private final boolean isWithin;
-    private final Map<CustomerId, Integer> used = new HashMap<>();
 
     Guarantees(Demand demand) {
       this.claimant = demand.job().job().customer();
-      state.examined(state.runs.size());
-      for (RunControl run : state.runs.values()) {
-        if (state.priorityOf(run.job) == ScopeState.URGENT && run.job.job().customer() != null) {
-          used.merge(run.job.job().customer(), run.spec.task().accelerators(), Integer::sum);
-        }
-      }
       int wanted = demand.spec().task().accelerators() * demand.tasks().size();
       int guaranteed = claimant == null ? 0 : state.ledger.configuration().guaranteedTo(claimant);
-      this.isWithin = used.getOrDefault(claimant, 0) + wanted <= guaranteed;
+      this.isWithin = state.urgentUse.of(claimant) + wanted <= guaranteed;
     }
 
-    boolean mayStop(RunControl run) {
-      if (state.priorityOf(run.job) > ScopeState.URGENT) {
+    boolean mayStop(Victims.Victim victim) {
+      if (!victim.isUrgent()) {
         return true;
       }
-      CustomerId owner = run.job.job().customer();
+      CustomerId owner = victim.run().job.job().customer();
       if (!isWithin || owner == null || owner.equals(claimant)) {
         return false;
       }
-      int guaranteed = state.ledger.configuration().guaranteedTo(owner);
       // A customer beyond its guarantee has borrowed, and none of its runs is protected.
-      return used.getOrDefault(owner, 0) > guaranteed;
-    }
-
-    double costOf(Collection<RunControl> runs, long nowMillis) {
-      double cost = 0;
-      for (RunControl run : runs) {
-        boolean isUrgent = state.priorityOf(run.job) == ScopeState.URGENT;
-        double lost = run.unsavedCoreSeconds(nowMillis) + RESTART_SECONDS * run.weight();
-        cost += (run.spec.gang() ? GANG_FACTOR : 1) * lost;
-        cost += isUrgent ? URGENT_VICTIM_COST : 0;
-      }
-      return cost;
+      return state.urgentUse.of(owner) > state.ledger.configuration().guaranteedTo(owner);
     }
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -117,6 +117,7 @@
   /** Acts on a command that the ledger has applied. */
   public void applied(ScopeCommand command, Present present) {
     state.dirty = true;
+    planner.noteApplied(command);
     if (command instanceof ScopeCommand.Place place) {
       orders.placed(place.placements(), present);
     } else if (command instanceof ScopeCommand.RecordEnds ends) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -42,7 +42,6 @@
   final Map<RunId, RunControl> runs = new LinkedHashMap<>();
   final Map<StepKey, Reservation> reservations = new LinkedHashMap<>();
   final Map<StepKey, Long> notBefore = new HashMap<>();
-  final Map<StepKey, Long> farAllowedAt = new HashMap<>();
   final Map<StepKey, Set<WorkerKey>> failedOn = new HashMap<>();
   private final WorkerIndex sessionIndex = new WorkerIndex();
   private final Map<StepKey, Map<RunId, RunControl>> runsByStep = new HashMap<>();
@@ -63,6 +62,10 @@
   /** Runs by the time at which they stand still, unless they have moved on until then. */
   final DueQueue<RunControl> stalls = new DueQueue<>();
 
+  /** Jobs whose steps may wait for other workers than before. */
+  final Set<JobId> changedJobs = new LinkedHashSet<>();
+
+  final UrgentUse urgentUse = new UrgentUse(this);
   private final Map<StepKey, Integer> proposedRuns = new HashMap<>();
   private final Set<TaskKey> proposedTasks = new HashSet<>();
   private List<ScopeAction> actions = new ArrayList<>();
@@ -85,7 +88,8 @@
     runsByJob.clear();
     reservations.clear();
     notBefore.clear();
-    farAllowedAt.clear();
+    changedJobs.clear();
+    urgentUse.clear();
     failedOn.clear();
     looks.clear();
     failing.clear();
@@ -132,6 +136,7 @@
 
   void settleProposed(RunId run) {
     if (proposedTasks.remove(run.task())) {
+      changedJobs.add(run.task().job());
       proposedRuns.computeIfPresent(
           run.task().stepKey(), (step, count) -> count == 1 ? null : count - 1);
     }
@@ -175,13 +180,18 @@
         .put(run.id, run);
     runsByJob.computeIfAbsent(run.id.task().job(), job -> new LinkedHashMap<>()).put(run.id, run);
     run.worker.add(run);
+    changedJobs.add(run.id.task().job());
+    urgentUse.add(run);
   }
 
   void remove(RunControl run) {
-    runs.remove(run.id);
+    if (runs.remove(run.id) != null) {
+      urgentUse.remove(run);
+    }
     removeFrom(runsByStep, run.id.task().stepKey(), run.id);
     removeFrom(runsByJob, run.id.task().job(), run.id);
     run.worker.remove(run);
+    changedJobs.add(run.id.task().job());
     stopping.remove(run);
     if (run.spec.gang()) {
       suspects.add(run.id.task().stepKey());
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.scope.RunId;
 import org.primrosegauge.core.scope.StepKey;
@@ -19,10 +20,20 @@
   private static final int FAILURES_BEFORE_ASIDE = 2;
   private static final long PERCENT = 100;
 
+  /** Listener of a worker whose room nobody follows. */
+  static final Consumer<WorkerSession> NO_LISTENER = worker -> {};
+
   final WorkerInfo info;
   final Map<RunId, RunControl> runs = new LinkedHashMap<>();
   private final Map<StepKey, Integer> tasks = new HashMap<>();
   private int orderedRuns;
+
+  /** Called after its free room has changed. */
+  Consumer<WorkerSession> roomListener = NO_LISTENER;
+
+  /** Number that changes with each run that is added or removed. */
+  long runsVersion;
+
   private Resources used = Resources.NONE;
   private Resources reserved = Resources.NONE;
   long sequence = -1;
@@ -83,6 +94,8 @@
     tasks.merge(run.id.task().stepKey(), 1, Integer::sum);
     orderedRuns += run.isOrdered() ? 1 : 0;
     used = used.plus(run.spec.task());
+    runsVersion++;
+    roomListener.accept(this);
   }
 
   void remove(RunControl run) {
@@ -91,15 +104,19 @@
           run.id.task().stepKey(), (step, count) -> count == 1 ? null : count - 1);
       orderedRuns -= run.isOrdered() ? 1 : 0;
       used = used.minus(run.spec.task());
+      runsVersion++;
+      roomListener.accept(this);
     }
   }
 
   void reserve(Resources need) {
     reserved = reserved.plus(need);
+    roomListener.accept(this);
   }
 
   void release(Resources need) {
     reserved = reserved.minus(need);
+    roomListener.accept(this);
   }
 
   long tasksOf(StepKey step) {
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/PlannedScope.java
@@ -0,0 +1,200 @@
+package org.primrosegauge.core.scope;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.primrosegauge.core.CustomerId;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.HostPort;
+import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.ServiceId;
+import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.cfg.ScopeSettings;
+
+/**
+ * A ledger and a scheduler whose proposals are committed at once and whose orders to start are
+ * carried out at once, so that each pass of the planner can be looked at by itself.
+ *
+ * <p>Not thread-safe.
+ */
+final class PlannedScope {
+
+  static final ServiceId POOL = new ServiceId("pool");
+  static final Resources CAPACITY = new Resources(64_000, 256 * 1024, 8);
+
+  private final ScopeLedger ledger = new ScopeLedger(1_000_000);
+  private final ScopeScheduler scheduler =
+      new ScopeScheduler(ledger, ScopeSettings.DEFAULT.withSilenceMillis(1_000_000));
+  private final Map<RunId, WorkerKey> running = new LinkedHashMap<>();
+  private final Map<RunId, WorkerKey> stopping = new LinkedHashMap<>();
+  private final List<Placement> placed = new ArrayList<>();
+  private final Deque<ScopeAction> open = new ArrayDeque<>();
+  private long now = 10_000;
+  private long mostExamined;
+  private long passes;
+  private long examined;
+
+  /** Creates a scope with idle workers, ten customers and a queue for each priority. */
+  PlannedScope(int workers, int perRack) {
+    ledger.apply(new ScopeCommand.Configure(configuration(workers), "text"));
+    for (int i = 0; i < workers; i++) {
+      ledger.apply(new ScopeCommand.SeeWorker(worker(i, perRack)));
+    }
+    perform(scheduler.takeOffice(new Term(1), present()));
+    for (int i = 0; i < workers; i++) {
+      WorkerStatus status = new WorkerStatus(worker(i, perRack), 1, false, 0, now);
+      perform(scheduler.workerReported(status, present()));
+    }
+  }
+
+  private static ScopeConfiguration configuration(int workers) {
+    List<QueueSpec> queues = new ArrayList<>();
+    for (int priority = 0; priority < 3; priority++) {
+      QueueName name = new QueueName("q" + priority);
+      queues.add(new QueueSpec(name, "host", "/" + name + "/", POOL, priority, 3, 3, 3_000, true));
+    }
+    List<CustomerSpec> customers = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      customers.add(new CustomerSpec(new CustomerId("c" + i), List.of("k" + i), workers / 4));
+    }
+    return new ScopeConfiguration(new Revision(1), queues, customers, 1_000);
+  }
+
+  private static WorkerInfo worker(int number, int perRack) {
+    return new WorkerInfo(
+        new WorkerKey(new TargetId("w" + number), 1),
+        new HostPort("10.0." + number / 250 + "." + (1 + number % 250), 80),
+        POOL,
+        new FailureDomainId("d" + number % 4),
+        CAPACITY,
+        List.of("a"),
+        rackOf(number, perRack));
+  }
+
+  static String rackOf(int number, int perRack) {
+    return "r" + number / perRack;
+  }
+
+  // Events
+
+  void submit(String id, int priority, int customer, StepSpec... steps) {
+    ScopeJob job =
+        new ScopeJob(
+            new JobId(id),
+            new QueueName("q" + priority),
+            POOL,
+            new CustomerId("c" + customer),
+            3,
+            now,
+            "",
+            List.of(steps),
+            Recurrence.NONE);
+    commit(new ScopeCommand.Submit(job));
+  }
+
+  /** Ends the run that has gone on longest. */
+  void endOldestRun() {
+    RunId run = running.keySet().iterator().next();
+    end(run, running.remove(run), RunOutcome.DONE);
+  }
+
+  /** Ends all runs that were told to stop. */
+  void endStoppedRuns() {
+    Map<RunId, WorkerKey> told = new LinkedHashMap<>(stopping);
+    stopping.clear();
+    told.forEach((run, worker) -> end(run, worker, RunOutcome.STOPPED));
+  }
+
+  private void end(RunId run, WorkerKey worker, RunOutcome outcome) {
+    commit(new ScopeCommand.RecordEnds(worker, 0, List.of(new RunEnd(run, outcome, "")), now));
+  }
+
+  /** Lets time pass and plans, as often as the planner has to go on. */
+  void pass(long millis) {
+    now += millis;
+    perform(scheduler.tick(present()));
+    long before = scheduler.examined();
+    final List<ScopeAction> actions = scheduler.plan(present());
+    long cost = scheduler.examined() - before;
+    passes++;
+    examined += cost;
+    mostExamined = Math.max(mostExamined, cost);
+    perform(actions);
+  }
+
+  private void commit(ScopeCommand command) {
+    ledger.apply(command);
+    perform(scheduler.applied(command, present()));
+  }
+
+  private void perform(List<ScopeAction> actions) {
+    open.addAll(actions);
+    while (!open.isEmpty()) {
+      ScopeAction action = open.poll();
+      if (action instanceof ScopeAction.Propose propose) {
+        note(propose.command());
+        ledger.apply(propose.command());
+        open.addAll(scheduler.applied(propose.command(), present()));
+      } else if (action instanceof ScopeAction.Start start) {
+        running.put(start.run(), start.worker());
+        open.addAll(scheduler.startAnswered(start.run(), StartAnswer.STARTED, now, present()));
+      } else if (action instanceof ScopeAction.Stop stop) {
+        running.remove(stop.run());
+        stopping.put(stop.run(), stop.worker());
+        open.addAll(scheduler.stopAnswered(stop.run(), StopAnswer.STOPPING, present()));
+      }
+    }
+  }
+
+  private void note(ScopeCommand command) {
+    if (command instanceof ScopeCommand.Place place) {
+      placed.addAll(place.placements());
+    }
+  }
+
+  private Present present() {
+    return new Present(now, now);
+  }
+
+  // Accessors
+
+  long nowMillis() {
+    return now;
+  }
+
+  /** Returns all placements so far, in their order. */
+  List<Placement> placed() {
+    return placed;
+  }
+
+  boolean hasBegun(String id) {
+    return ledger.job(new JobId(id)).orElseThrow().status() != JobStatus.QUEUED;
+  }
+
+  int runs() {
+    return running.size();
+  }
+
+  /** Forgets the figures of the passes so far. */
+  void forgetFigures() {
+    mostExamined = 0;
+    passes = 0;
+    examined = 0;
+  }
+
+  /** Returns the most that one pass looked at. */
+  long mostExamined() {
+    return mostExamined;
+  }
+
+  /** Returns what a pass looked at on average. */
+  double meanExamined() {
+    return (double) examined / passes;
+  }
+}
