Planner: no step waits for a better place while its service is mostly free

Cause: a step whose data rack or rack is busy waited as long as it is estimated to run, and workers held for gangs or kept for urgent work, or a reservation of near room, could keep it waiting longer, whatever else was free.

Change: once a step has waited for MOST_IDLE_WAIT_MILLIS (2 s) while 45% of the processors and of the accelerators of its service were free all the time, and what is free holds it twice, it goes far, may take kept workers, and gives up a reservation of near room. 2 s leave 1 s for the commit and the start.

Not covered: a service of which one resource is mostly free and the other isn't counts as busy.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -28,6 +28,12 @@
   /** Wait for a near place before a far one is taken, as a share of the estimated run time. */
   private static final int PATIENCE_PERCENT = 100;
 
+  /** Longest time that a step waits for a better place while there is room, in milliseconds. */
+  private static final long MOST_IDLE_WAIT_MILLIS = 2_000;
+
+  /** A step has room when what is free holds what has to start together this many times. */
+  private static final int ROOM_FACTOR = 2;
+
   /** Workers, runs, jobs and tasks that a pass looks at before it ends early. */
   private static final long MOST_EXAMINED = 15_000;
 
@@ -141,20 +147,21 @@
 
   private void plan(Demand demand, List<Placement> placements, Present present) {
     long now = present.millis();
+    boolean isOverdue = isOverdue(demand, now);
     boolean isNearOnly = wantsNear(demand) && placer.canBeNear(demand, now);
     List<WorkerSession> workers =
         isNearOnly
-            ? placer.placeNear(demand, false, present)
-            : placer.placeAnywhere(demand, false, present);
-    if (workers.isEmpty() && isNearOnly && mayMakeRoom(demand)) {
+            ? placer.placeNear(demand, isOverdue, present)
+            : placer.placeAnywhere(demand, isOverdue, present);
+    if (workers.isEmpty() && isNearOnly && mayMakeRoom(demand) && !isOverdue) {
       Optional<Reservation> room = roomMaker.makeRoomNear(demand, now);
       if (room.isPresent()) {
         reserve(room.get(), present);
         return;
       }
     }
-    if (workers.isEmpty() && isNearOnly && mayGoFar(demand, now)) {
-      workers = placer.placeAnywhere(demand, false, present);
+    if (workers.isEmpty() && isNearOnly && (isOverdue || mayGoFar(demand, now))) {
+      workers = placer.placeAnywhere(demand, isOverdue, present);
       isNearOnly = false;
     }
     if (workers.isEmpty() && !isNearOnly && mayMakeRoom(demand)) {
@@ -171,6 +178,24 @@
     }
   }
 
+  /**
+   * Tells whether a step has waited long enough for a better place, or for what is kept free for
+   * others, while much of its service was free all the time.
+   */
+  private boolean isOverdue(Demand demand, long nowMillis) {
+    long idleSince = index.idleSinceMillis(demand.job().job().pool());
+    if (idleSince == Long.MAX_VALUE) {
+      return false;
+    }
+    long overdueAt = Math.max(idleSince, demand.waited().sinceMillis()) + MOST_IDLE_WAIT_MILLIS;
+    if (nowMillis < overdueAt) {
+      retryAt(overdueAt);
+      return false;
+    }
+    int together = demand.spec().gang() ? demand.tasks().size() : 1;
+    return placer.anywhere(demand).mayHold(demand.spec().task(), ROOM_FACTOR * together);
+  }
+
   private void retryAt(long millis) {
     nextRetryMillis = Math.min(nextRetryMillis, millis);
   }
@@ -253,7 +278,9 @@
     for (Reservation reservation : List.copyOf(state.reservations.values())) {
       boolean isFree =
           reservation.victims().stream().noneMatch(victim -> state.runs.containsKey(victim));
-      boolean isExpired = present.millis() >= reservation.untilMillis();
+      boolean isExpired =
+          present.millis() >= reservation.untilMillis()
+              || reservation.isNear() && isOverdue(reservation.demand(), present.millis());
       if (isFree || isExpired || isObsolete(reservation)) {
         release(reservation);
         if (isFree && !isObsolete(reservation)) {
