--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.primrosegauge.core.Term;
 import org.primrosegauge.core.scope.Placement;
 import org.primrosegauge.core.scope.Present;
 import org.primrosegauge.core.scope.RunId;
@@ -14,6 +15,9 @@
 /**
  * Gives waiting steps their workers, in order, and makes room for urgent ones.
  *
+ * <p>A pass that has looked at much ends early, so that it does not hold its thread for long; the
+ * next call goes on where it ended, urgent work first.
+ *
  * <p>Not thread-safe.
  */
 final class Planner {
@@ -24,31 +28,53 @@
   /** Wait for a near place before a far one is taken, as a share of the estimated run time. */
   private static final int PATIENCE_PERCENT = 100;
 
-  /**
-   * Longest wait for a near place while most of the workers' capacity is free, in milliseconds: a
-   * job with room must not seem forgotten.
-   */
-  private static final long MOSTLY_FREE_PATIENCE_MILLIS = 2_000;
+  /** Longest time that a step waits for a better place while there is room, in milliseconds. */
+  private static final long MOST_IDLE_WAIT_MILLIS = 2_000;
+
+  /** A step has room when what is free holds what has to start together this many times. */
+  private static final int ROOM_FACTOR = 2;
+
+  /** Workers, runs, jobs and tasks that a pass looks at before it ends early. */
+  private static final long MOST_EXAMINED = 15_000;
 
   private final ScopeState state;
   private final RunOrders orders;
+  private final RoomIndex index;
+  private final Headroom headroom;
   private final DemandQueue queue;
   private final GangHolds holds;
-  private final Headroom headroom;
   private final Placer placer;
   private final RoomMaker roomMaker;
-  private final FleetUse fleet;
+  private Term term = Term.NONE;
+  private Demand lastPlanned;
   private long nextRetryMillis = Long.MAX_VALUE;
 
   Planner(ScopeState state, RunOrders orders) {
     this.state = state;
     this.orders = orders;
-    this.queue = new DemandQueue(state);
-    this.holds = new GangHolds();
-    this.headroom = new Headroom(state);
-    this.placer = new Placer(state, holds, headroom);
+    this.index = new RoomIndex(state);
+    this.headroom = new Headroom(state, index);
+    this.queue = new DemandQueue(state, headroom);
+    this.holds = new GangHolds(state);
+    this.placer = new Placer(state, index, holds, headroom);
     this.roomMaker = new RoomMaker(state, placer);
-    this.fleet = new FleetUse(state);
+  }
+
+  /** Notes which jobs a command that the ledger has applied concerns. */
+  void noteApplied(ScopeCommand command) {
+    if (command instanceof ScopeCommand.Submit submit) {
+      state.changedJobs.add(submit.job().id());
+    } else if (command instanceof ScopeCommand.Cancel cancel) {
+      state.changedJobs.add(cancel.job());
+    } else if (command instanceof ScopeCommand.Place place) {
+      place.placements().forEach(each -> state.changedJobs.add(each.run().task().job()));
+    } else if (command instanceof ScopeCommand.RecordEnds ends) {
+      ends.ends().forEach(end -> state.changedJobs.add(end.run().task().job()));
+    } else if (command instanceof ScopeCommand.SeeWorker
+        || command instanceof ScopeCommand.ForgetWorker) {
+      // The ledger has ended all runs of a lifetime that is over.
+      queue.renewAll();
+    }
   }
 
   /** Plans if anything has changed that may let a step start. */
@@ -59,36 +85,83 @@
     }
     state.dirty = false;
     nextRetryMillis = Long.MAX_VALUE;
-    holds.clear();
-    fleet.renew();
-    headroom.renew(placer.open(present.millis()), present);
+    begin(present);
     List<Placement> placements = new ArrayList<>();
     redeemReservations(placements, present);
-    for (Demand demand : queue.waiting(present)) {
-      if (!state.reservations.containsKey(demand.key())) {
-        plan(demand, placements, present);
-      }
-    }
+    queue.update(present);
+    headroom.renew();
+    planWaiting(placements, present);
     if (!placements.isEmpty()) {
       state.propose(new ScopeCommand.Place(placements));
     }
     noteRetries(present);
   }
 
+  private void begin(Present present) {
+    if (!term.equals(state.term)) {
+      term = state.term;
+      lastPlanned = null;
+      roomMaker.clear();
+      holds.restart();
+    }
+    index.refresh(present.millis());
+  }
+
+  // Waiting steps
+
+  private void planWaiting(List<Placement> placements, Present present) {
+    long limit = state.examined() + MOST_EXAMINED;
+    Demand earlier = lastPlanned;
+    if (earlier == null) {
+      holds.clear(present.millis());
+      lastPlanned = planAll(queue.waiting(), limit, placements, present);
+      return;
+    }
+    // Urgent work that has come meanwhile goes first and leaves the rest its half.
+    planAll(queue.urgentUntil(earlier), limit - MOST_EXAMINED / 2, placements, present);
+    lastPlanned = planAll(queue.waitingAfter(earlier), limit, placements, present);
+    // What has changed meanwhile may matter to the steps before.
+    state.dirty = true;
+  }
+
+  /**
+   * Plans steps in their order until the pass has looked at enough.
+   *
+   * @return last step that was planned; null when all were
+   */
+  private Demand planAll(
+      Iterable<Demand> demands, long limit, List<Placement> placements, Present present) {
+    Demand last = null;
+    for (Demand demand : demands) {
+      if (last != null && state.examined() > limit) {
+        return last;
+      }
+      state.examined(1);
+      if (!state.reservations.containsKey(demand.key())) {
+        plan(demand, placements, present);
+      }
+      last = demand;
+    }
+    return null;
+  }
+
   private void plan(Demand demand, List<Placement> placements, Present present) {
     long now = present.millis();
-    boolean isNearOnly = wantsNear(demand) && !placer.nearGroups(demand, now).isEmpty();
+    boolean isOverdue = isOverdue(demand, now);
+    boolean isNearOnly = wantsNear(demand) && placer.canBeNear(demand, now);
     List<WorkerSession> workers =
-        isNearOnly ? placer.placeNear(demand, present) : placer.placeAnywhere(demand, present);
-    if (workers.isEmpty() && isNearOnly && mayMakeRoom(demand)) {
+        isNearOnly
+            ? placer.placeNear(demand, isOverdue, present)
+            : placer.placeAnywhere(demand, isOverdue, present);
+    if (workers.isEmpty() && isNearOnly && mayMakeRoom(demand) && !isOverdue) {
       Optional<Reservation> room = roomMaker.makeRoomNear(demand, now);
       if (room.isPresent()) {
         reserve(room.get(), present);
         return;
       }
     }
-    if (workers.isEmpty() && isNearOnly && mayGoFar(demand, now)) {
-      workers = placer.placeAnywhere(demand, present);
+    if (workers.isEmpty() && isNearOnly && (isOverdue || mayGoFar(demand, now))) {
+      workers = placer.placeAnywhere(demand, isOverdue, present);
       isNearOnly = false;
     }
     if (workers.isEmpty() && !isNearOnly && mayMakeRoom(demand)) {
@@ -101,18 +174,38 @@
     if (!workers.isEmpty()) {
       commit(demand, workers, placements, present);
     } else if (demand.spec().gang() && demand.lateness() <= WORTH_HOLDING) {
-      List<List<WorkerSession>> groups = placer.nearGroups(demand, now);
-      groups.forEach(group -> state.examined(group.size()));
-      holds.hold(demand, groups, now);
+      holds.hold(demand, () -> placer.workersNear(demand, now), now);
     }
   }
 
+  /**
+   * Tells whether a step has waited long enough for a better place, or for what is kept free for
+   * others, while much of its service was free all the time.
+   */
+  private boolean isOverdue(Demand demand, long nowMillis) {
+    long idleSince = index.idleSinceMillis(demand.job().job().pool());
+    if (idleSince == Long.MAX_VALUE) {
+      return false;
+    }
+    long overdueAt = Math.max(idleSince, demand.waited().sinceMillis()) + MOST_IDLE_WAIT_MILLIS;
+    if (nowMillis < overdueAt) {
+      retryAt(overdueAt);
+      return false;
+    }
+    int together = demand.spec().gang() ? demand.tasks().size() : 1;
+    return placer.anywhere(demand).mayHold(demand.spec().task(), ROOM_FACTOR * together);
+  }
+
+  private void retryAt(long millis) {
+    nextRetryMillis = Math.min(nextRetryMillis, millis);
+  }
+
   private void commit(
       Demand demand, List<WorkerSession> workers, List<Placement> placements, Present present) {
     for (int i = 0; i < workers.size(); i++) {
       commitTask(demand, demand.tasks().get(i), workers.get(i), placements, present);
     }
-    state.farAllowedAt.remove(demand.key());
+    demand.waited().restart(present.millis());
     report(demand, workers);
   }
 
@@ -126,19 +219,15 @@
 
   /**
    * A task far from its data takes several times as long, so waiting for a place near it is better
-   * for about as long as the task runs, but only briefly while most workers are free. Urgent work
-   * that found no near room goes far at once.
+   * for about as long as the task runs. Urgent work that found no near room goes far at once.
    */
   private boolean mayGoFar(Demand demand, long nowMillis) {
-    if (demand.priority() == ScopeState.URGENT) {
-      return true;
-    }
     long patience = demand.spec().estimatedMillis() * PATIENCE_PERCENT / 100;
-    if (fleet.isMostlyFree(demand.job().job().pool())) {
-      patience = Math.min(patience, MOSTLY_FREE_PATIENCE_MILLIS);
+    long allowedAt = demand.waited().sinceMillis() + patience;
+    if (nowMillis < allowedAt) {
+      retryAt(allowedAt);
     }
-    long allowedAt = state.farAllowedAt.merge(demand.key(), nowMillis + patience, Math::min);
-    return nowMillis >= allowedAt;
+    return demand.priority() == ScopeState.URGENT || nowMillis >= allowedAt;
   }
 
   private void report(Demand demand, List<WorkerSession> workers) {
@@ -189,7 +278,9 @@
     for (Reservation reservation : List.copyOf(state.reservations.values())) {
       boolean isFree =
           reservation.victims().stream().noneMatch(victim -> state.runs.containsKey(victim));
-      boolean isExpired = present.millis() >= reservation.untilMillis();
+      boolean isExpired =
+          present.millis() >= reservation.untilMillis()
+              || reservation.isNear() && isOverdue(reservation.demand(), present.millis());
       if (isFree || isExpired || isObsolete(reservation)) {
         release(reservation);
         if (isFree && !isObsolete(reservation)) {
@@ -211,9 +302,10 @@
 
   private void redeem(Reservation reservation, List<Placement> placements, Present present) {
     Demand demand = reservation.demand();
-    List<WorkerSession> usable = placer.usable(demand, present.millis());
     List<WorkerSession> workers = reservation.workers();
-    boolean isIntact = usable.containsAll(workers);
+    state.examined(workers.size());
+    boolean isIntact =
+        workers.stream().allMatch(worker -> placer.isUsable(worker, demand, present.millis()));
     if (!isIntact) {
       return;
     }
@@ -243,32 +335,18 @@
   }
 
   private void noteRetries(Present present) {
-    long next = headroom.nextRenewalMillis(present);
-    for (long time : state.notBefore.values()) {
-      if (time > present.millis()) {
-        next = Math.min(next, time);
-      }
-    }
-    state.notBefore.values().removeIf(time -> time <= present.millis());
-    state.farAllowedAt.keySet().removeIf(step -> state.ledger.step(step) == null);
-    for (long time : state.farAllowedAt.values()) {
-      if (time > present.millis()) {
-        next = Math.min(next, time);
-      }
+    long now = present.millis();
+    if (lastPlanned != null) {
+      retryAt(now);
     }
+    retryAt(headroom.nextRetryMillis(present));
+    retryAt(roomMaker.nextRetryMillis(now));
+    retryAt(index.nextRefreshMillis(now));
+    state.examined(state.notBefore.size() + state.reservations.size());
+    state.notBefore.values().removeIf(time -> time <= now);
     for (Reservation reservation : state.reservations.values()) {
-      next = Math.min(next, reservation.untilMillis());
-    }
-    state.examined(state.sessions.size());
-    for (WorkerSession worker : state.sessions.values()) {
-      if (worker.asideUntilMillis > present.millis()) {
-        next = Math.min(next, worker.asideUntilMillis);
-      }
-    }
-    long due = queue.nextDueMillis(present);
-    if (due != Long.MAX_VALUE) {
-      next = Math.min(next, present.millis() + Math.max(1, due - present.wallMillis()));
+      retryAt(reservation.untilMillis());
     }
-    nextRetryMillis = next;
+    retryAt(queue.nextWakeMillis(present));
   }
 }
