--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -1,10 +1,8 @@
 package org.primrosegauge.node.scope;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -66,9 +64,7 @@
   private final SchedulerRunner scheduler;
   private final ScopeCalls calls;
   private final ReplicatedLog<ScopeResult> log;
-
-  /** Jobs that were proposed here and are not applied yet; of the present term only. */
-  private final Set<JobId> proposedJobs = new HashSet<>();
+  private final ProposedJobs proposedJobs = new ProposedJobs();
 
   private final OrderPlaces orderPlaces = new OrderPlaces();
 
@@ -284,8 +280,17 @@
       events.refused(ScopeRefusal.BACKLOG, submit.address());
       return Mono.just(new ScopeMessage.Refused(ScopeRefusal.BACKLOG, comeBack.getAsLong()));
     }
-    proposedJobs.add(job.id());
-    return propose(new ScopeCommand.Submit(job));
+    proposedJobs.proposed(job.id());
+    return propose(new ScopeCommand.Submit(job)).doOnError(error -> notProposed(job.id()));
+  }
+
+  /** The log refuses on its own thread, unless its ring is full. */
+  private void notProposed(JobId job) {
+    if (log.duty().isCurrentThread()) {
+      proposedJobs.failed(job);
+    } else {
+      log.duty().offer(() -> proposedJobs.failed(job));
+    }
   }
 
   private Answer tooLate(CallWait.GivenUp why, CallerAddress address) {
@@ -389,7 +394,7 @@
       }
       final ScopeResult result = ledger.apply(command);
       if (command instanceof ScopeCommand.Submit submit) {
-        proposedJobs.remove(submit.job().id());
+        proposedJobs.applied(submit.job().id());
       }
       if (leads) {
         events.applied(command);
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/StaleCallTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/StaleCallTest.java
@@ -61,10 +61,12 @@
   private static final long TOO_LONG_MILLIS = CallWait.MOST_MILLIS + 1;
   private static final long LOOK_PAUSE_MILLIS = 200;
   private static final CallerAddress JOB = new CallerAddress("host", "/q/00aa", null);
+  private static final CallerAddress OTHER_JOB = new CallerAddress("host", "/q/00bb", null);
   private static final Answer NOT_RUN =
       new ScopeMessage.Refused(ScopeRefusal.OVERLOADED, CallWait.COME_BACK_MILLIS);
 
   private final AtomicLong skipped = new AtomicLong();
+  private final CountDownLatch met = new CountDownLatch(1);
   private final Gate thread = new Gate();
   private final Gate disk = new Gate();
   private ScopeDuty duty;
@@ -147,6 +149,7 @@
 
     @Override
     public Mono<LookAnswer> look(ScopeAction.Look order) {
+      met.countDown();
       thread.pass();
       return Mono.just(LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
     }
@@ -165,10 +168,9 @@
             .family("scope", ScopeMessage.class)
             .build();
     ScopeLedger ledger = new ScopeLedger(60_000);
-    LogSettings settings = ScopeInstance.logSettings(SELF, List.of(SELF), 1);
     duty =
         new ScopeDuty(
-            settings,
+            settings(),
             ledger,
             new ScopeScheduler(ledger, ScopeSettings.DEFAULT),
             new ScopeDuty.Ports(
@@ -195,6 +197,10 @@
     duty.close();
   }
 
+  private static LogSettings settings() {
+    return ScopeInstance.logSettings(SELF, List.of(SELF), 1);
+  }
+
   private void configure() {
     QueueSpec queue = new QueueSpec(new QueueName("q"), "host", "/q/", POOL, 1, 2, 2.0, 100, true);
     Question configure =
@@ -218,12 +224,18 @@
             List.of("a", "r1"),
             "r1");
     duty.answer(new ScopeMessage.Heartbeat(new WorkerStatus(info, 1, false, 0, 5))).block(PATIENCE);
+    // The log takes the worker after the answer; a disk that is held up before would keep it out.
+    Gate.await(met);
   }
 
   private static Question submission() {
+    return submission(JOB, "payload");
+  }
+
+  private static Question submission(CallerAddress address, String payload) {
     StepSpec step = StepSpec.builder(1).task(new Resources(1_000, 100, 1)).build();
     return new ScopeMessage.Submit(
-        JOB, new JobSubmission("payload", List.of(step), Recurrence.NONE));
+        address, new JobSubmission(payload, List.of(step), Recurrence.NONE));
   }
 
   /** Asks while the leader's thread stands still, for longer than callers wait. */
@@ -264,6 +276,21 @@
         .isEqualTo(new ScopeMessage.Done());
   }
 
+  /** A job that the log refused has not run, and must not be taken for one on its way. */
+  @Test
+  void jobRefusedByOverloadedLogIsNotTakenForProposed() {
+    disk.close();
+    String large = "x".repeat(settings().maxUncommittedBytes());
+    final CompletableFuture<Answer> first = duty.answer(submission(OTHER_JOB, large)).toFuture();
+    disk.awaitVisitor();
+    assertThat(duty.answer(submission()).block(PATIENCE))
+        .isInstanceOf(ScopeMessage.NotLeader.class);
+    assertThat(answerAfterTooLong(submission())).isEqualTo(NOT_RUN);
+    disk.open();
+    assertThat(first.orTimeout(PATIENCE.toSeconds(), TimeUnit.SECONDS).join())
+        .isEqualTo(new ScopeMessage.Done());
+  }
+
   /** A read or a cancel for nobody keeps the thread from those that are still waited for. */
   @Test
   void readAndCancelThatWaitedTooLongAreRefused() {
