RoomFailures: a failed attempt to make room stands only for demands that it says something about

What callers would see: an urgent job waits for as long as another one does that stands before it (RECLAIM within a guarantee).

Cause: a failed attempt is remembered for 100 ms for demands of the same shape. A demand wider than the whole fleet was not tried at all and counted as "not even one task fits"; a step that has reached its own limit on each worker counted as proof for others with the same limit. As the earlier step is tried first again when the memory ends, it was renewed by its own failure.

Ruled out: order and pace of passes; both tests fail with the emulator's planning after each event.

Change: a demand that is too wide proves only that as many tasks do not fit; steps with a limit a worker that have runs neither use nor leave a memory.

Evidence: urgentTaskGetsRoomBehindStepThatIsTooWideForTheFleet and urgentTasksGetRoomBesideStepThatIsAtItsLimitOnEachWorker fail before the change and pass after it; the other ScopeLoadTest cases pass.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomMaker.java
@@ -85,7 +85,9 @@
     RoomFailures.Shape shape =
         RoomFailures.shapeOf(demand, isNear, guarantees.isWithin ? guarantees.claimant : null);
     double mostLost = guarantees.isWithin ? Double.MAX_VALUE : MOST_LOST * workOf(demand);
-    if (failures.isKnown(shape, demand, mostLost, nowMillis)) {
+    // What a step's own runs take of its limit a worker says nothing about other steps.
+    boolean isComparable = demand.spec().maxPerWorker() == 0 || !state.hasRuns(demand.key());
+    if (isComparable && failures.isKnown(shape, demand, mostLost, nowMillis)) {
       return Optional.empty();
     }
     Draft best = null;
@@ -93,19 +95,19 @@
     for (RoomIndex.Group group : groups) {
       Draft draft = new Draft(demand, guarantees, nowMillis);
       draft.fill(group);
-      held = Math.max(held, draft.chosen.size());
+      held = Math.max(held, draft.mostHeld());
       boolean isBetter = draft.isWhole() && (best == null || draft.cost < best.cost);
       best = isBetter ? draft : best;
     }
-    if (best == null) {
-      failures.noteImpossible(shape, demand, held + 1, nowMillis);
-      return Optional.empty();
+    if (best != null && best.cost <= mostLost) {
+      return Optional.of(best.reservation(isNear));
     }
-    if (best.cost > mostLost) {
+    if (isComparable && best == null) {
+      failures.noteImpossible(shape, demand, held + 1, nowMillis);
+    } else if (isComparable) {
       failures.noteTooDear(shape, demand, best.cost, nowMillis);
-      return Optional.empty();
     }
-    return Optional.of(best.reservation(isNear));
+    return Optional.empty();
   }
 
   /** Returns the work that a demand is estimated to do, in core-seconds. */
@@ -135,6 +137,7 @@
     private final Set<RunControl> stopped = new LinkedHashSet<>();
     private final List<WorkerSession> chosen = new ArrayList<>();
     private double cost;
+    private boolean isTooWide;
 
     Draft(Demand demand, Guarantees guarantees, long nowMillis) {
       this.demand = demand;
@@ -147,6 +150,7 @@
       Resources all = times(demand.spec().task(), demand.tasks().size());
       state.examined(1);
       if (!all.fitsIn(group.capacity())) {
+        isTooWide = true;
         return;
       }
       int number = 0;
@@ -165,6 +169,11 @@
       }
     }
 
+    /** Returns the number of tasks for which the group may hold room; more it does not hold. */
+    int mostHeld() {
+      return isTooWide ? demand.tasks().size() - 1 : chosen.size();
+    }
+
     boolean isWhole() {
       return chosen.size() == demand.tasks().size();
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -208,6 +208,11 @@
         });
   }
 
+  /** Tells whether a step has runs. */
+  boolean hasRuns(StepKey step) {
+    return runsByStep.containsKey(step);
+  }
+
   /** Returns a copy of the runs of a step. */
   List<RunControl> runsOf(StepKey step) {
     List<RunControl> found = List.copyOf(runsByStep.getOrDefault(step, Map.of()).values());
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeLoadTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeLoadTest.java
@@ -145,4 +145,37 @@
     assertThat(world.statusOf("small39")).isEqualTo(JobStatus.COMPLETED);
     assertThat(world.checker.violations).isEmpty();
   }
+
+  /** A wide urgent step that no fleet can hold was taken as proof that no task finds room. */
+  @Test
+  void urgentTaskGetsRoomBehindStepThatIsTooWideForTheFleet() {
+    EmulatedScope world = new EmulatedScope(41, 4, true);
+    world.run(2_000);
+    world.submit("filler", 2, "second", List.of(step(32, ONE, 9_000).build()), 9_000);
+    world.run(1_000);
+    StepSpec wide = step(5, WHOLE_WORKER, 1_000).gang(true).build();
+    world.submit("wide", 0, null, List.of(wide), 1_000);
+    world.run(300);
+    world.submit("urgent", 0, null, List.of(step(1, WHOLE_WORKER, 4_000).build()), 4_000);
+    world.run(2_900);
+    assertThat(world.checker.firstBegin).containsKey(URGENT);
+    assertThat(world.checker.violations).isEmpty();
+  }
+
+  /** A step at its own limit a worker was taken as proof that no other step finds room. */
+  @Test
+  void urgentTasksGetRoomBesideStepThatIsAtItsLimitOnEachWorker() {
+    EmulatedScope world = new EmulatedScope(42, 4, true);
+    world.run(2_000);
+    StepSpec limited = step(8, ONE, 2_000).maxPerWorker(1).build();
+    world.submit("limited", 0, null, List.of(limited), 9_000);
+    world.run(1_000);
+    world.submit("filler", 2, "second", List.of(step(28, ONE, 9_000).build()), 9_000);
+    world.run(1_000);
+    StepSpec other = step(4, ONE, 6_000).maxPerWorker(1).build();
+    world.submit("urgent", 0, null, List.of(other), 6_000);
+    world.run(2_900);
+    assertThat(world.checker.firstBegin).containsKey(URGENT);
+    assertThat(world.checker.violations).isEmpty();
+  }
 }
