Runs that never started: their end is proposed again when the log has refused it

What callers would see: LOST. A task whose start was rejected, or whose placement was void, stayed open for the rest of the term, and with a gang its whole step.

Cause: the refusal only took back the mark that an end was proposed. Runs that a worker knows of are found again by looks; those that were placed or being started are known to no worker, and nothing asked about them again.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
@@ -202,6 +202,18 @@
     proposeEnd(run, RunOutcome.NEVER_STARTED, present);
   }
 
+  /** Proposes again that runs never started, where the log did not take it. */
+  void recordAgain(Present present) {
+    List<RunControl> unrecorded = List.copyOf(state.unrecorded);
+    state.unrecorded.clear();
+    state.examined(unrecorded.size());
+    for (RunControl run : unrecorded) {
+      if (state.runs.get(run.id) == run) {
+        neverStarted(run, present);
+      }
+    }
+  }
+
   /** Proposes the end of a run that its worker does not list as ended. */
   void proposeEnd(RunControl run, RunOutcome outcome, Present present) {
     if (run.endProposed) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -252,6 +252,10 @@
     run.endProposed = false;
     // What should stop it may have happened while its end was proposed.
     state.suspects.add(run.id.task().stepKey());
+    boolean isFoundByLooks = run.isOrdered() && run.phase != RunControl.Phase.STARTING;
+    if (!isFoundByLooks) {
+      state.unrecorded.add(run);
+    }
   }
 
   // Workers
@@ -327,6 +331,7 @@
     orders.resendStops(present.millis());
     if (present.millis() >= nextWatchMillis) {
       nextWatchMillis = present.millis() + RunWatch.PERIOD_MILLIS;
+      orders.recordAgain(present);
       watch.check(present);
     }
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -59,6 +59,9 @@
   /** Steps of which runs may have to stop because what they belong to is over or broken. */
   final Set<StepKey> suspects = new LinkedHashSet<>();
 
+  /** Runs that never started, whose end the log did not take. */
+  final Set<RunControl> unrecorded = new LinkedHashSet<>();
+
   /** Runs by the time at which they stand still, unless they have moved on until then. */
   final DueQueue<RunControl> stalls = new DueQueue<>();
 
@@ -95,6 +98,7 @@
     failing.clear();
     stopping.clear();
     suspects.clear();
+    unrecorded.clear();
     stalls.clear();
     proposedRuns.clear();
     proposedTasks.clear();
