Hand-over: a leader that nobody can follow leads on, and a hand-over goes before all else on its thread

What callers would see: 1.4 to 2.8 s without a leader when an instance is stopped that is the only voter, or whose peers have not answered lately, though it serves on for most of its grace period.

Cause: release() named no successor and said nothing, and the replica stepped down all the same. And the hand-over waited behind heartbeats in the ring of the usual rank, or was dropped when that was full.

Evidence: leaderWithoutSuccessorLeadsOn fails before the change and passes after it; LogReplicaTest, LogReplicaRulesTest and LogDiskLossTest pass. The rank has no test of its own.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -242,14 +242,13 @@
   }
 
   /**
-   * Stops leading, if this replica leads, and lets the others elect another at once. Its lease ends
-   * here, before any of them can support another.
+   * Stops leading, if this replica leads and another can follow, and lets the others elect that one
+   * at once. Its lease ends here, before any of them can support another.
    *
    * @since 0.3
    */
   public List<LogAction> handOver(long nowMillis) {
-    if (leader != null) {
-      leader.release(nowMillis);
+    if (leader != null && leader.release(nowMillis)) {
       stepDown(nowMillis);
       // The others go first; if none of them can lead, this replica may again.
       electionMillis += context.settings().electionMaxMillis();
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
@@ -120,16 +120,21 @@
     replicate(nowMillis);
   }
 
-  /** Tells the others that this replica leads no more, and who is to follow. */
-  public void release(long nowMillis) {
+  /**
+   * Tells the others that this replica leads no more, and who is to follow.
+   *
+   * @return false when there is nobody who could follow; nothing is said then
+   */
+  public boolean release(long nowMillis) {
     InstanceId successor = successor(nowMillis);
     if (successor == null) {
-      return;
+      return false;
     }
     Release release = new Release(context.term(), context.self().storage(), successor);
     for (Member member : others()) {
       context.outbox().send(member.replica().instance(), release);
     }
+    return true;
   }
 
   /** Returns the voter that answers and holds most; null when there is none. */
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplicaRulesTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplicaRulesTest.java
@@ -53,6 +53,22 @@
     assertThat(replica.received(B, request, support)).isNotEmpty();
   }
 
+  /** A leader that stopped without a successor left its site without any for seconds. */
+  @Test
+  void leaderWithoutSuccessorLeadsOn() {
+    LogReplica replica = replica();
+    List<LogAction> actions = new ArrayList<>();
+    long now = SETTINGS.electionMaxMillis();
+    syncAll(replica, replica.tick(now), now, actions);
+    VoteReply preVote = new VoteReply(new Term(4), STORAGE_B, true, true);
+    syncAll(replica, replica.received(B, preVote, now), now, actions);
+    VoteReply vote = new VoteReply(new Term(4), STORAGE_B, false, true);
+    syncAll(replica, replica.received(B, vote, now), now, actions);
+    // Neither of the others has answered yet, so neither is known to hold what is committed.
+    assertThat(replica.handOver(now)).isEmpty();
+    assertThat(replica.isLeader()).isTrue();
+  }
+
   @Test
   void entryOfEarlierTermIsNotCommittedByCountingReplicas() {
     LogReplica replica = replica();
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -275,7 +275,7 @@
    * @since 0.3
    */
   public void handOver() {
-    duty.offer(() -> perform(replica.handOver(now())));
+    duty.offer(Duty.Rank.FIRST, () -> perform(replica.handOver(now())));
   }
 
   // Log thread
