--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/RefusedProposalTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/RefusedProposalTest.java
@@ -58,7 +58,7 @@
   }
 
   private ScopeAction.Start startTask() {
-    StepSpec step = StepSpec.builder(1).task(TASK).estimatedMillis(60_000).build();
+    final StepSpec step = StepSpec.builder(1).task(TASK).estimatedMillis(60_000).build();
     ledger.apply(new ScopeCommand.SeeWorker(WORKER));
     core.takeOffice(new Term(1), present());
     core.workerReported(new WorkerStatus(WORKER, 1, false, 0, now), present());
