--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplicaRulesTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplicaRulesTest.java
@@ -53,17 +53,22 @@
     assertThat(replica.received(B, request, support)).isNotEmpty();
   }
 
+  /** Lets a replica win an election by the votes of another voter. */
+  private static void elect(LogReplica replica, long now, List<LogAction> actions) {
+    syncAll(replica, replica.tick(now), now, actions);
+    VoteReply preVote = new VoteReply(new Term(4), STORAGE_B, true, true);
+    syncAll(replica, replica.received(B, preVote, now), now, actions);
+    VoteReply vote = new VoteReply(new Term(4), STORAGE_B, false, true);
+    syncAll(replica, replica.received(B, vote, now), now, actions);
+  }
+
   /** A leader that stopped without a successor left its site without any for seconds. */
   @Test
   void leaderWithoutSuccessorLeadsOn() {
     LogReplica replica = replica();
     List<LogAction> actions = new ArrayList<>();
     long now = SETTINGS.electionMaxMillis();
-    syncAll(replica, replica.tick(now), now, actions);
-    VoteReply preVote = new VoteReply(new Term(4), STORAGE_B, true, true);
-    syncAll(replica, replica.received(B, preVote, now), now, actions);
-    VoteReply vote = new VoteReply(new Term(4), STORAGE_B, false, true);
-    syncAll(replica, replica.received(B, vote, now), now, actions);
+    elect(replica, now, actions);
     // Neither of the others has answered yet, so neither is known to hold what is committed.
     assertThat(replica.handOver(now)).isEmpty();
     assertThat(replica.isLeader()).isTrue();
@@ -74,11 +79,7 @@
     LogReplica replica = replica();
     List<LogAction> actions = new ArrayList<>();
     long now = SETTINGS.electionMaxMillis();
-    syncAll(replica, replica.tick(now), now, actions);
-    VoteReply preVote = new VoteReply(new Term(4), STORAGE_B, true, true);
-    syncAll(replica, replica.received(B, preVote, now), now, actions);
-    VoteReply vote = new VoteReply(new Term(4), STORAGE_B, false, true);
-    syncAll(replica, replica.received(B, vote, now), now, actions);
+    elect(replica, now, actions);
     assertThat(replica.isLeader()).isTrue();
 
     AppendReply old = new AppendReply(new Term(4), STORAGE_B, true, new LogIndex(2), now);
