--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/CallWait.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/CallWait.java
@@ -4,13 +4,14 @@
 import org.primrosegauge.node.scope.ScopeMessage.Question;
 
 /**
- * Says what goes first when the leader's thread cannot answer all questions in time, and when one
- * has waited so long that the one who asked looks for another leader, or no longer waits.
+ * Ranks the questions on the leader's thread, and decides when one has waited so long that it is
+ * refused instead of being carried out.
  *
- * <p>Words of workers and orders of operators are few, make the leader's picture true, and are
- * taken whatever their age: a heartbeat that is left out makes its worker silent, so that it gets
- * nothing new. Questions about the leader are cheap, and without their answers all instances look
- * for another leader at once. Calls of callers come after these, reads of the state of jobs last.
+ * <p>Answers a leader that is behind. Workers' heartbeats and operators' orders are few, keep the
+ * leader's state current, and are handled whatever their age: a worker whose heartbeat is left out
+ * counts as silent and gets nothing new. Questions about the leader are cheap, and without their
+ * answers all instances look for another leader at once. Calls of callers come after these, reads
+ * of the state of jobs last.
  *
  * <p>Stateless.
  */
