A placement counts only for the run that waits for it, on its worker

When a worker restarted while a placement on it was on its way into the log, the run was placed elsewhere under the same number; the first placement, void by then, removed the second one's run, which was placed a third time. The log then held one worker and the order went to another: a later leader would have taken the run for one that never began and started it again beside it.

Ruled out: that the ledger could tell the two apart by the attempt; it is the same, since the first was never open.

Change: a placement concerns a run only if it is proposed on that worker; the run counts as placed only if the ledger has it there. RunOrders.notPlaced likewise.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -135,6 +135,15 @@
     return step != null && step.task(run.task().index()).openAttempt() == run.attempt();
   }
 
+  /**
+   * Tells whether a run may be going on at a worker.
+   *
+   * @since 0.3
+   */
+  public boolean isOpenAt(RunId run, WorkerKey worker) {
+    return isOpen(run) && step(run.task().stepKey()).task(run.task().index()).isOpenAt(worker);
+  }
+
   /**
    * Returns how many accepted jobs of a queue have not started a task.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/TaskRecord.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/TaskRecord.java
@@ -98,6 +98,10 @@
     return openWorker;
   }
 
+  boolean isOpenAt(WorkerKey worker) {
+    return worker.equals(openWorker);
+  }
+
   void open(int attempt, WorkerKey worker) {
     lastAttempt = attempt;
     openAttempt = attempt;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunControl.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunControl.java
@@ -2,6 +2,7 @@
 
 import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.scope.JobEntry;
+import org.primrosegauge.core.scope.Placement;
 import org.primrosegauge.core.scope.RunId;
 import org.primrosegauge.core.scope.StepSpec;
 
@@ -66,6 +67,11 @@
     return phase == Phase.RUNNING;
   }
 
+  /** Tells whether a proposed placement is the one that this run waits for. */
+  boolean isPlacedBy(Placement placement) {
+    return phase == Phase.PROPOSED && worker.info.key().equals(placement.worker());
+  }
+
   /** Tells whether the worker has been told of it. */
   boolean isOrdered() {
     return phase != Phase.PROPOSED;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunOrders.java
@@ -51,9 +51,14 @@
     List<RunControl> ready = new ArrayList<>();
     for (Placement placement : placements) {
       RunId id = placement.run();
-      state.settleProposed(id);
       RunControl run = state.runs.get(id);
-      boolean isTaken = run != null && state.ledger.isOpen(id);
+      boolean isReplaced = run != null && !run.isPlacedBy(placement);
+      if (isReplaced) {
+        // Its worker ended before the log took it, and the run was placed elsewhere since.
+        continue;
+      }
+      state.settleProposed(id);
+      boolean isTaken = run != null && state.ledger.isOpenAt(id, placement.worker());
       if (run != null && !isTaken) {
         state.remove(run);
       }
@@ -86,9 +91,9 @@
   /** Forgets placements that the log did not take. */
   void notPlaced(List<Placement> placements) {
     for (Placement placement : placements) {
-      state.settleProposed(placement.run());
       RunControl run = state.runs.get(placement.run());
-      if (run != null) {
+      if (run != null && run.isPlacedBy(placement)) {
+        state.settleProposed(placement.run());
         state.remove(run);
       }
     }
