Answers of workers count only in the term in which they were asked for

A report from before the start of a run, which a leader in between had started, then said that the run had never begun, and it would have been started again beside it.

Ruled out: late answers to starts and stops; they find no order that is open. They are bound to the term all the same.

Change: ScopeScheduler takes answers with the order that they belong to and ignores those of other terms.

EmulatedScope had bound answers to its epoch, so its tests could not see this.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
@@ -130,34 +130,46 @@
   }
 
   /**
-   * Notes what became of an order to start.
+   * Notes what became of an order to start. An order of an earlier term says nothing any more.
    *
    * @param clockMillis the worker's clock; 0 when it did not say
-   * @since 0.2
+   * @since 0.3
    */
   public List<ScopeAction> startAnswered(
-      RunId run, StartAnswer answer, long clockMillis, Present present) {
-    core.startAnswered(run, answer, clockMillis, present);
+      ScopeAction.Start order, StartAnswer answer, long clockMillis, Present present) {
+    if (!core.isInOffice(order.term())) {
+      return List.of();
+    }
+    core.startAnswered(order.run(), answer, clockMillis, present);
     return core.takeActions();
   }
 
   /**
-   * Notes what became of an order to stop.
+   * Notes what became of an order to stop, likewise.
    *
-   * @since 0.2
+   * @since 0.3
    */
-  public List<ScopeAction> stopAnswered(RunId run, StopAnswer answer, Present present) {
-    core.stopAnswered(run, answer, present);
+  public List<ScopeAction> stopAnswered(
+      ScopeAction.Stop order, StopAnswer answer, Present present) {
+    if (!core.isInOffice(order.term())) {
+      return List.of();
+    }
+    core.stopAnswered(order.run(), answer, present);
     return core.takeActions();
   }
 
   /**
-   * Takes the answer to a look at a worker.
+   * Takes the answer to a look at a worker. One that was asked for in an earlier term may be older
+   * than runs that have started since.
    *
-   * @since 0.2
+   * @since 0.3
    */
-  public List<ScopeAction> lookAnswered(WorkerKey worker, LookAnswer answer, Present present) {
-    core.lookAnswered(worker, answer, present);
+  public List<ScopeAction> lookAnswered(
+      ScopeAction.Look order, LookAnswer answer, Present present) {
+    if (!core.isInOffice(order.term())) {
+      return List.of();
+    }
+    core.lookAnswered(order.worker(), answer, present);
     return core.takeActions();
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -83,6 +83,11 @@
     return inOffice;
   }
 
+  /** Tells whether it decides under a term. */
+  public boolean isInOffice(Term term) {
+    return inOffice && term.equals(state.term);
+  }
+
   private WorkerSession openSession(WorkerInfo info, Present present) {
     long now = present.millis();
     long silentSince = now - state.settings.silenceMillis() - 1;
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/PlannedScope.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/PlannedScope.java
@@ -143,11 +143,11 @@
         open.addAll(scheduler.applied(propose.command(), present()));
       } else if (action instanceof ScopeAction.Start start) {
         running.put(start.run(), start.worker());
-        open.addAll(scheduler.startAnswered(start.run(), StartAnswer.STARTED, now, present()));
+        open.addAll(scheduler.startAnswered(start, StartAnswer.STARTED, now, present()));
       } else if (action instanceof ScopeAction.Stop stop) {
         running.remove(stop.run());
         stopping.put(stop.run(), stop.worker());
-        open.addAll(scheduler.stopAnswered(stop.run(), StopAnswer.STOPPING, present()));
+        open.addAll(scheduler.stopAnswered(stop, StopAnswer.STOPPING, present()));
       }
     }
   }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/TakeoverLooksTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/TakeoverLooksTest.java
@@ -54,25 +54,29 @@
     return new Present(now, now);
   }
 
-  private static List<WorkerKey> looks(List<ScopeAction> actions) {
+  private static List<ScopeAction.Look> looks(List<ScopeAction> actions) {
     return actions.stream()
         .filter(ScopeAction.Look.class::isInstance)
-        .map(action -> ((ScopeAction.Look) action).worker())
+        .map(ScopeAction.Look.class::cast)
         .toList();
   }
 
+  private static List<WorkerKey> workersOf(List<ScopeAction.Look> looks) {
+    return looks.stream().map(ScopeAction.Look::worker).toList();
+  }
+
   /** Issue 16: each takeover looked at all workers in one go. */
   @Test
   void newLeaderDoesNotLookAtAllWorkersAtOnce() {
     scheduler.takeOffice(new Term(1), present());
-    Queue<WorkerKey> open = new ArrayDeque<>(looks(scheduler.plan(present())));
+    Queue<ScopeAction.Look> open = new ArrayDeque<>(looks(scheduler.plan(present())));
     Set<WorkerKey> met = new HashSet<>();
     while (!open.isEmpty()) {
       assertThat(open.size()).isAtMost(MOST_AT_ONCE);
-      WorkerKey worker = open.remove();
-      assertThat(met.add(worker)).isTrue();
+      ScopeAction.Look look = open.remove();
+      assertThat(met.add(look.worker())).isTrue();
       LookAnswer answer = new LookAnswer(LookAnswer.Kind.REPORT, now, List.of(), List.of());
-      scheduler.lookAnswered(worker, answer, present());
+      scheduler.lookAnswered(look, answer, present());
       open.addAll(looks(scheduler.look(present())));
     }
     assertThat(met).hasSize(WORKERS);
@@ -83,11 +87,11 @@
   void workersThatDoNotAnswerDelayTheOthersOnlyShortly() {
     scheduler.takeOffice(new Term(1), present());
     final long since = now;
-    Set<WorkerKey> met = new HashSet<>(looks(scheduler.plan(present())));
+    Set<WorkerKey> met = new HashSet<>(workersOf(looks(scheduler.plan(present()))));
     while (met.size() < WORKERS && now < since + MOST_MILLIS) {
       now += TICK_MILLIS;
       scheduler.tick(present());
-      met.addAll(looks(scheduler.look(present())));
+      met.addAll(workersOf(looks(scheduler.look(present()))));
     }
     assertThat(met).hasSize(WORKERS);
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -3,14 +3,12 @@
 import java.util.List;
 import org.primrosegauge.core.scope.LookAnswer;
 import org.primrosegauge.core.scope.Present;
-import org.primrosegauge.core.scope.RunId;
 import org.primrosegauge.core.scope.ScopeAction;
 import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.ScopeScheduler;
 import org.primrosegauge.core.scope.StartAnswer;
 import org.primrosegauge.core.scope.StopAnswer;
-import org.primrosegauge.core.scope.WorkerKey;
 import org.primrosegauge.node.duty.Duty;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.log.ReplicatedLog;
@@ -197,24 +195,22 @@
           later(
               EventKind.ANSWER,
               (leader, present) ->
-                  leader.startAnswered(
-                      order.run(), answered.answer(), answered.clockMillis(), present));
+                  leader.startAnswered(order, answered.answer(), answered.clockMillis(), present));
         });
   }
 
   private void stop(ScopeAction.Stop order, boolean mayOrder) {
-    RunId run = order.run();
     Mono<StopAnswer> reply = mayOrder ? workers.stop(order) : Mono.just(StopAnswer.NO_ANSWER);
     final long sent = clock.nowMillis();
     reply.subscribe(
         answered -> {
           meters.workerAnswered("stop", answered, clock.nowMillis() - sent);
-          later(EventKind.ANSWER, (leader, present) -> leader.stopAnswered(run, answered, present));
+          later(
+              EventKind.ANSWER, (leader, present) -> leader.stopAnswered(order, answered, present));
         });
   }
 
   private void look(ScopeAction.Look order, boolean mayOrder) {
-    WorkerKey worker = order.worker();
     Mono<LookAnswer> reply =
         mayOrder ? workers.look(order) : Mono.just(LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
     final long sent = clock.nowMillis();
@@ -222,8 +218,7 @@
         answered -> {
           meters.workerAnswered("look", answered.kind(), clock.nowMillis() - sent);
           later(
-              EventKind.ANSWER,
-              (leader, present) -> leader.lookAnswered(worker, answered, present));
+              EventKind.ANSWER, (leader, present) -> leader.lookAnswered(order, answered, present));
         });
   }
 
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -472,22 +472,20 @@
     tellIfLeading(
         EventKind.ORDER,
         sentIn,
-        (leader, present) -> leader.startAnswered(order.run(), StartAnswer.NO_ANSWER, 0, present));
+        (leader, present) -> leader.startAnswered(order, StartAnswer.NO_ANSWER, 0, present));
   }
 
   private void stopLost(ScopeAction.Stop order, int sentIn) {
     tellIfLeading(
         EventKind.ORDER,
         sentIn,
-        (leader, present) -> leader.stopAnswered(order.run(), StopAnswer.NO_ANSWER, present));
+        (leader, present) -> leader.stopAnswered(order, StopAnswer.NO_ANSWER, present));
   }
 
   private void lookLost(ScopeAction.Look order, int sentIn) {
     LookAnswer none = LookAnswer.without(LookAnswer.Kind.NO_ANSWER);
     tellIfLeading(
-        EventKind.LOOK,
-        sentIn,
-        (leader, present) -> leader.lookAnswered(order.worker(), none, present));
+        EventKind.LOOK, sentIn, (leader, present) -> leader.lookAnswered(order, none, present));
   }
 
   private void answerStart(ScopeAction.Start order, int sentIn) {
@@ -501,7 +499,7 @@
         isAnswered,
         (leader, present) ->
             leader.startAnswered(
-                order.run(),
+                order,
                 isAnswered ? answer : StartAnswer.NO_ANSWER,
                 isAnswered ? clock : 0,
                 present));
@@ -516,7 +514,7 @@
         sentIn,
         isAnswered,
         (leader, present) ->
-            leader.stopAnswered(order.run(), isAnswered ? answer : StopAnswer.NO_ANSWER, present));
+            leader.stopAnswered(order, isAnswered ? answer : StopAnswer.NO_ANSWER, present));
   }
 
   private void receiveLook(ScopeAction.Look order, int sentIn) {
@@ -544,7 +542,7 @@
         isAnswered,
         (leader, present) ->
             leader.lookAnswered(
-                order.worker(),
+                order,
                 isAnswered ? answer : LookAnswer.without(LookAnswer.Kind.NO_ANSWER),
                 present));
   }
