Leases of silent workers are counted over changes of the leader

Ruled out: a time of day in the log (clocks step); a shorter bound for new leaders (would start work beside a worker that is only cut off).

Change: after two unanswered looks the log records that a worker's leases are renewed no more (SwitchRenewal), and, before the next renewal, that they are again. From its record on no leader renews, so on each replica the lease is over its whole length after that replica applied the record (Suspensions, by its own monotonic clock; counted from now where the ledger was replaced as a whole). A worker whose renewal is suspended gets nothing new.

workOfSilentWorkerStartsElsewhereThoughLeadersChangeWithinItsLease fails without the count over terms (RUNNING after 16.5 s), passes with it; workerThatComesBackKeepsItsWorkThoughItsRenewalsWereSuspended, SuspensionsTest; EmulatedScope has three replicas that apply all that is committed. ScopeCoreDueTest took office twice in one term, which no replica does; with the other random course after this change a job that was cancelled between the two stayed planned. It takes a new term each time now, its checks unchanged.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeCommand.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeCommand.java
@@ -93,4 +93,20 @@
    * @since 0.2
    */
   record ForgetWorker(WorkerKey worker) implements ScopeCommand {}
+
+  /**
+   * Records that the leases of workers are renewed no more, or are again. The leader that proposes
+   * it renews none from its proposal on, or until it is applied.
+   *
+   * @param workers workers and lifetimes
+   * @param isSuspended whether they are renewed no more
+   * @since 0.3
+   */
+  record SwitchRenewal(List<WorkerKey> workers, boolean isSuspended) implements ScopeCommand {
+
+    /** Copies the list. */
+    public SwitchRenewal {
+      workers = List.copyOf(workers);
+    }
+  }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -215,6 +215,8 @@
       seeWorker(seen.worker());
     } else if (command instanceof ScopeCommand.ForgetWorker gone) {
       forgetWorker(gone.worker());
+    } else if (command instanceof ScopeCommand.SwitchRenewal order) {
+      switchRenewal(order);
     }
     return ScopeResult.APPLIED;
   }
@@ -244,6 +246,7 @@
     for (ScopeSnapshot.WorkerState worker : snapshot.workers()) {
       WorkerRecord record = new WorkerRecord(worker.info(), worker.lastEnd());
       record.openRuns().addAll(worker.openRuns());
+      record.suspendRenewal(worker.renewalSuspended());
       workers.add(record);
     }
     for (ScopeSnapshot.JobState state : snapshot.jobs()) {
@@ -408,6 +411,15 @@
     }
   }
 
+  private void switchRenewal(ScopeCommand.SwitchRenewal order) {
+    for (WorkerKey key : order.workers()) {
+      WorkerRecord worker = workers.get(key);
+      if (worker != null) {
+        worker.suspendRenewal(order.isSuspended());
+      }
+    }
+  }
+
   private void forgetWorker(WorkerKey key) {
     WorkerRecord worker = workers.get(key);
     if (worker == null) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeScheduler.java
@@ -82,18 +82,24 @@
   // Log
 
   /**
-   * Notes that the ledger has just applied a command.
+   * Notes that the ledger has just applied a command, whether this replica leads or not.
    *
    * @since 0.2
    */
   public List<ScopeAction> applied(ScopeCommand command, Present present) {
-    if (!core.isInOffice()) {
-      return List.of();
-    }
     core.applied(command, present);
     return core.takeActions();
   }
 
+  /**
+   * Notes that the ledger was replaced as a whole. To be called while it does not decide.
+   *
+   * @since 0.3
+   */
+  public void restored() {
+    core.restored();
+  }
+
   /**
    * Notes that a proposed command was refused by the log.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
@@ -31,12 +31,18 @@
    * @param info what it announced
    * @param lastEnd number of the last end recorded
    * @param openRuns runs that may be going on there
+   * @param renewalSuspended whether no leader renews the lease of these
    * @since 0.2
    */
-  public record WorkerState(WorkerInfo info, long lastEnd, List<RunId> openRuns) {
+  public record WorkerState(
+      WorkerInfo info, long lastEnd, List<RunId> openRuns, boolean renewalSuspended) {
 
     static WorkerState of(WorkerRecord worker) {
-      return new WorkerState(worker.info(), worker.lastEnd(), List.copyOf(worker.openRuns()));
+      return new WorkerState(
+          worker.info(),
+          worker.lastEnd(),
+          List.copyOf(worker.openRuns()),
+          worker.isRenewalSuspended());
     }
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerRecord.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerRecord.java
@@ -15,6 +15,7 @@
   private final WorkerInfo info;
   private final Set<RunId> openRuns = new LinkedHashSet<>();
   private long lastEnd;
+  private boolean renewalSuspended;
 
   WorkerRecord(WorkerInfo info, long lastEnd) {
     this.info = info;
@@ -48,6 +49,19 @@
     return openRuns;
   }
 
+  /**
+   * Tells whether no leader renews the lease of what runs there.
+   *
+   * @since 0.3
+   */
+  public boolean isRenewalSuspended() {
+    return renewalSuspended;
+  }
+
+  void suspendRenewal(boolean isSuspended) {
+    renewalSuspended = isSuspended;
+  }
+
   void recorded(long number) {
     lastEnd = Math.max(lastEnd, number);
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomIndex.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RoomIndex.java
@@ -162,6 +162,7 @@
         && !worker.draining
         && !worker.left
         && worker.lookFailures == 0
+        && !worker.renewalSuspended
         && !worker.isSilent(nowMillis, state.settings.silenceMillis())
         && !state.ledger.domainsOut().contains(worker.info.domain())
         && isCurrent.test(worker);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.TargetId;
@@ -39,6 +40,7 @@
   private final WorkerLooks looks;
   private final RunWatch watch;
   private final Planner planner;
+  private final Suspensions suspensions;
   private boolean inOffice;
   private long nextWatchMillis;
 
@@ -53,6 +55,7 @@
     looks = new WorkerLooks(state, orders);
     watch = new RunWatch(state, orders);
     planner = new Planner(state, orders);
+    suspensions = new Suspensions(state.ledger);
   }
 
   // Office
@@ -65,6 +68,11 @@
     for (WorkerRecord worker : state.ledger.workers()) {
       state.examined(1 + worker.openRuns().size());
       WorkerSession session = openSession(worker.info(), present);
+      if (worker.isRenewalSuspended()) {
+        session.renewalSuspended = true;
+        long since = suspensions.sinceMillis(worker.info().key(), present.millis());
+        session.lapseNotBeforeMillis = since + state.longestLeaseMillis();
+      }
       for (RunId run : worker.openRuns()) {
         inherit(run, session, present.millis());
       }
@@ -92,8 +100,7 @@
     long now = present.millis();
     long silentSince = now - state.settings.silenceMillis() - 1;
     WorkerSession session = new WorkerSession(info, now, silentSince);
-    long longest = state.settings.leaseMillis() * 100 / (100 - state.settings.clockErrorPercent());
-    session.lapseNotBeforeMillis = now + longest;
+    session.lapseNotBeforeMillis = now + state.longestLeaseMillis();
     state.addSession(session);
     return session;
   }
@@ -119,8 +126,17 @@
 
   // Log
 
-  /** Acts on a command that the ledger has applied. */
+  /** Forgets what was learned from single commands. */
+  public void restored() {
+    suspensions.clear();
+  }
+
+  /** Acts on a command that the ledger has applied; only notes it where this replica follows. */
   public void applied(ScopeCommand command, Present present) {
+    suspensions.applied(command, present);
+    if (!inOffice) {
+      return;
+    }
     state.dirty = true;
     planner.noteApplied(command);
     if (command instanceof ScopeCommand.Place place) {
@@ -137,6 +153,11 @@
     } else if (command instanceof ScopeCommand.ForgetWorker gone) {
       WorkerSession session = state.sessions.get(gone.worker());
       dropOldSessions(session == null ? List.of() : List.of(session), present);
+    } else if (command instanceof ScopeCommand.SwitchRenewal order) {
+      order.workers().stream()
+          .map(state.sessions::get)
+          .filter(Objects::nonNull)
+          .forEach(worker -> looks.renewalSwitched(worker, order.isSuspended(), present));
     }
   }
 
@@ -239,7 +260,7 @@
     } else if (command instanceof ScopeCommand.RecordEnds ends) {
       ends.ends().stream()
           .map(end -> state.runs.get(end.run()))
-          .filter(run -> run != null)
+          .filter(Objects::nonNull)
           .forEach(this::endNotRecorded);
       WorkerSession worker = state.sessions.get(ends.worker());
       if (worker != null) {
@@ -250,6 +271,11 @@
       if (worker != null) {
         worker.left = false;
       }
+    } else if (command instanceof ScopeCommand.SwitchRenewal order) {
+      order.workers().stream()
+          .map(state.sessions::get)
+          .filter(Objects::nonNull)
+          .forEach(worker -> worker.renewalSwitchProposed = false);
     }
   }
 
@@ -337,6 +363,7 @@
     if (present.millis() >= nextWatchMillis) {
       nextWatchMillis = present.millis() + RunWatch.PERIOD_MILLIS;
       orders.recordAgain(present);
+      looks.suspendWhereDue();
       watch.check(present);
     }
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -32,6 +32,8 @@
  */
 public final class ScopeState {
 
+  private static final long PERCENT = 100;
+
   /** Priority of work that may stop other work. */
   static final int URGENT = 0;
 
@@ -148,6 +150,11 @@
 
   // Sessions
 
+  /** Returns the time that a lease may last on the slowest clock allowed, in milliseconds. */
+  long longestLeaseMillis() {
+    return settings.leaseMillis() * PERCENT / (PERCENT - settings.clockErrorPercent());
+  }
+
   void addSession(WorkerSession session) {
     sessions.put(session.info.key(), session);
     sessionIndex.add(session.info);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -34,6 +34,9 @@
   private static final long COMMIT_WAIT_MILLIS = 250;
   static final long LAPSE_SLACK_MILLIS = 300;
 
+  /** A single answer that is lost says little, and a record for each would fill the log. */
+  private static final int FAILURES_BEFORE_SUSPENSION = 2;
+
   /**
    * Most workers that are looked at for the first time in a term within {@link #FIRST_LOOK_MILLIS}.
    * A new leader meets all workers at once, each with a new connection, while it has to prove to
@@ -98,7 +101,8 @@
     boolean hasRuns = worker.hasOrderedRuns();
     // A renewal counts from its sending: one for each retry would keep a lost worker's lease alive.
     boolean answers = worker.lookFailures == 0;
-    boolean renews = hasRuns && answers && worker.knowsClock() && !worker.left;
+    boolean mayRenew = worker.knowsClock() && !worker.left && !worker.renewalSuspended;
+    boolean renews = hasRuns && answers && mayRenew;
     long deadline = renews ? worker.clockAt(now) + state.settings.leaseMillis() : 0;
     worker.longestDeadline = Math.max(worker.longestDeadline, deadline);
     long lastEnd = recorded(worker);
@@ -177,6 +181,11 @@
           Math.max(worker.longestDeadline, answer.clockMillis() + state.settings.leaseMillis());
     }
     worker.nextLookMillis = now;
+    if (worker.renewalSuspended) {
+      // The look that renews its lease follows as soon as the log has it.
+      worker.nextLookMillis = now + COMMIT_WAIT_MILLIS;
+      switchRenewal(List.of(worker), false);
+    }
     state.examined(worker.runs.size() + answer.ended().size() + answer.running().size());
     Set<RunId> ended = recordEnds(worker, answer.ended(), present);
     Set<RunId> running = noteRunning(worker, answer.running(), present);
@@ -266,6 +275,51 @@
     };
   }
 
+  // Renewal
+
+  /**
+   * Has the log record which workers fell silent, so that a later leader counts their leases from
+   * now on.
+   */
+  void suspendWhereDue() {
+    state.examined(state.failing.size());
+    List<WorkerSession> due = state.failing.stream().filter(WorkerLooks::isSuspensionDue).toList();
+    if (!due.isEmpty()) {
+      switchRenewal(due, true);
+    }
+  }
+
+  private static boolean isSuspensionDue(WorkerSession worker) {
+    return worker.lookFailures >= FAILURES_BEFORE_SUSPENSION
+        && !worker.renewalSuspended
+        && !worker.renewalSwitchProposed
+        && worker.hasOrderedRuns();
+  }
+
+  private void switchRenewal(List<WorkerSession> workers, boolean isSuspended) {
+    List<WorkerSession> open =
+        workers.stream().filter(worker -> !worker.renewalSwitchProposed).toList();
+    if (!open.isEmpty()) {
+      open.forEach(worker -> worker.renewalSwitchProposed = true);
+      state.propose(
+          new ScopeCommand.SwitchRenewal(
+              open.stream().map(worker -> worker.info.key()).toList(), isSuspended));
+    }
+  }
+
+  /** Takes in what the log says of a worker's leases. */
+  void renewalSwitched(WorkerSession worker, boolean isSuspended, Present present) {
+    worker.renewalSuspended = isSuspended;
+    worker.renewalSwitchProposed = false;
+    state.dirty = true;
+    boolean isBack = worker.confirmed && worker.lookFailures == 0;
+    if (isSuspended && isBack) {
+      switchRenewal(List.of(worker), false);
+    } else if (!isSuspended) {
+      orders.lookSoon(worker, present.millis());
+    }
+  }
+
   // Time
 
   /** Records which leases on workers that cannot be reached are over. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -59,6 +59,13 @@
   long clockAtMillis = Long.MIN_VALUE;
   long longestDeadline;
   long lapseNotBeforeMillis;
+
+  /** Whether the log says that leases here are renewed no more. */
+  boolean renewalSuspended;
+
+  /** Whether a command that changes this is on its way into the log. */
+  boolean renewalSwitchProposed;
+
   long proposedEnd;
   long toldEnd;
   long asideUntilMillis;
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/ScopeCoreDueTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/ScopeCoreDueTest.java
@@ -85,6 +85,7 @@
   private long now;
   private long nextWatchMillis;
   private int jobs;
+  private long terms;
 
   @Property(tries = 100, seed = "20261204", shrinking = ShrinkingMode.OFF)
   void nothingThatIsDueIsMissed(@ForAll @LongRange(min = 1) long seed) {
@@ -143,7 +144,7 @@
   private void takeOffice() {
     waiting.clear();
     core.leaveOffice();
-    core.takeOffice(new Term(1), present());
+    core.takeOffice(new Term(++terms), present());
     core.look(present());
     collect();
   }
--- /dev/null
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/SuspensionsTest.java
@@ -0,0 +1,56 @@
+package org.primrosegauge.core.scope.impl;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.primrosegauge.core.scope.Present;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.core.scope.WorkerInfo;
+
+/** When a replica may count a lease from, by what it has learned of its renewal. */
+class SuspensionsTest {
+
+  private static final WorkerInfo WORKER = CoreWorld.worker(1, 1);
+
+  private final ScopeLedger ledger = new ScopeLedger(60_000);
+  private final Suspensions suspensions = new Suspensions(ledger);
+
+  @BeforeEach
+  void seeWorker() {
+    apply(new ScopeCommand.SeeWorker(WORKER), 1_000);
+    switchRenewal(true, 2_000);
+  }
+
+  @Test
+  void countsFromTheFirstRecordOfSilence() {
+    switchRenewal(true, 3_000);
+    assertThat(suspensions.sinceMillis(WORKER.key(), 9_000)).isEqualTo(2_000);
+  }
+
+  @Test
+  void workerThatFallsSilentAgainCountsFromThen() {
+    switchRenewal(false, 4_000);
+    switchRenewal(true, 5_000);
+    assertThat(suspensions.sinceMillis(WORKER.key(), 9_000)).isEqualTo(5_000);
+  }
+
+  /** The lease may have been renewed between the two states of the ledger. */
+  @Test
+  void replacedLedgerMakesItCountFromThePresent() {
+    suspensions.clear();
+    assertThat(suspensions.sinceMillis(WORKER.key(), 9_000)).isEqualTo(9_000);
+    assertThat(suspensions.sinceMillis(WORKER.key(), 12_000)).isEqualTo(9_000);
+  }
+
+  private void switchRenewal(boolean isSuspended, long atMillis) {
+    apply(new ScopeCommand.SwitchRenewal(List.of(WORKER.key()), isSuspended), atMillis);
+  }
+
+  private void apply(ScopeCommand command, long atMillis) {
+    ledger.apply(command);
+    suspensions.applied(command, new Present(atMillis, atMillis));
+  }
+}
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -422,6 +422,7 @@
     @Override
     public void restore(byte[] state) throws WireException {
       ledger.restore(codec.read(state, ScopeSnapshot.class));
+      scheduler.restored();
     }
 
     @Override
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -62,6 +62,7 @@
   static final long STEP_MILLIS = 10;
   private static final String TRACED = System.getProperty("scope.trace");
   private static final long COMMIT_MILLIS = 10;
+  private static final int REPLICAS = 3;
 
   /** Epoch of answers that nobody waits for any more. */
   private static final int NOBODY = -1;
@@ -106,6 +107,7 @@
   final ScopeLedger ledger = new ScopeLedger(RETENTION_MILLIS);
   private final EventMeter cost;
   private final EmulatedThread thread;
+  private final List<ScopeScheduler> replicas = new ArrayList<>();
   private ScopeScheduler scheduler;
   private int epoch;
   private long term;
@@ -155,6 +157,9 @@
                 () -> decide(ScopeScheduler::look),
                 this::at));
     this.ledger.apply(new ScopeCommand.Configure(configuration, "text"));
+    for (int i = 0; i < REPLICAS; i++) {
+      replicas.add(new ScopeScheduler(ledger, ScopeSettings.DEFAULT));
+    }
     for (int i = 0; i < fleet.workers(); i++) {
       startWorker("w" + i, i);
     }
@@ -296,11 +301,11 @@
 
   /** Replaces the leader: what it had proposed may be lost, its orders on the way are not. */
   void changeLeader() {
-    scheduler = null;
+    dismiss();
     settleProposals();
     epoch++;
     term++;
-    scheduler = new ScopeScheduler(ledger, ScopeSettings.DEFAULT);
+    scheduler = replicas.get((int) term % REPLICAS);
     waiting.keySet().removeIf(each -> each.epoch() != epoch);
     thread.restart(now);
     Term begun = new Term(term);
@@ -314,11 +319,18 @@
    */
   public void loseLeader(long forMillis) {
     epoch++;
-    scheduler = null;
+    dismiss();
     thread.restart(now);
     at(now + forMillis, this::changeLeader);
   }
 
+  private void dismiss() {
+    if (scheduler != null) {
+      scheduler.leaveOffice();
+    }
+    scheduler = null;
+  }
+
   private Present present() {
     return new Present(now, now);
   }
@@ -421,6 +433,9 @@
     if (command instanceof ScopeCommand.Place place) {
       placements += place.placements().size();
     }
+    replicas.stream()
+        .filter(replica -> replica != scheduler)
+        .forEach(replica -> replica.applied(command, present()));
     return decide((leader, present) -> leader.applied(command, present));
   }
 
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
@@ -223,4 +223,37 @@
     assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
     assertThat(world.checker.violations).isEmpty();
   }
+
+  /** Each new leader counted the lease of a silent worker anew. */
+  @Test
+  void workOfSilentWorkerStartsElsewhereThoughLeadersChangeWithinItsLease() {
+    EmulatedScope world = new EmulatedScope(33, 4, true);
+    world.run(2_000);
+    world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 1_000);
+    world.run(500);
+    world.cut("w2", 600_000);
+    for (int i = 0; i < 3; i++) {
+      world.run(4_000);
+      world.changeLeader();
+    }
+    world.run(4_000);
+    assertThat(world.checker.violations).isEmpty();
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+  }
+
+  /** A worker whose renewals were suspended has them again before its lease ends. */
+  @Test
+  void workerThatComesBackKeepsItsWorkThoughItsRenewalsWereSuspended() {
+    EmulatedScope world = new EmulatedScope(34, 4, true);
+    world.run(2_000);
+    world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 25_000);
+    world.run(1_000);
+    world.cut("w2", 8_000);
+    world.run(3_000);
+    world.changeLeader();
+    world.run(24_000);
+    assertThat(world.checker.violations).isEmpty();
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
+  }
 }
