Workers that are gone for good are forgotten

Change: a worker that runs nothing and said nothing for longer than any lease lasts is forgotten by the log. One that was only cut off is met again with its next heartbeat; ends that it lists then are of runs that had lapsed.

Ruled out: forgetting it with its lease while runs are open; those end first, as lapsed.

workerThatIsGoneForGoodIsForgottenAndMetAgainIfItComesBack failed before (4 workers known, expected 3), passes now.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -364,6 +364,7 @@
       nextWatchMillis = present.millis() + RunWatch.PERIOD_MILLIS;
       orders.recordAgain(present);
       looks.suspendWhereDue();
+      looks.forgetWhereDue(present.millis());
       watch.check(present);
     }
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -52,6 +52,9 @@
   /** Sessions at which a look may be due. */
   final LookQueue looks = new LookQueue();
 
+  /** Sessions in the order in which it is due to ask whether they have been silent for long. */
+  final DueQueue<WorkerSession> silences = new DueQueue<>();
+
   /** Sessions whose last look was not answered. */
   final Set<WorkerSession> failing = new LinkedHashSet<>();
 
@@ -97,6 +100,7 @@
     urgentUse.clear();
     failedOn.clear();
     looks.clear();
+    silences.clear();
     failing.clear();
     stopping.clear();
     suspects.clear();
@@ -158,6 +162,7 @@
   void addSession(WorkerSession session) {
     sessions.put(session.info.key(), session);
     sessionIndex.add(session.info);
+    silences.add(session, session.answeredMillis + longestLeaseMillis());
     looks.touch(session);
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.primrosegauge.core.scope.LookAnswer;
 import org.primrosegauge.core.scope.LookAnswer.EndedEntry;
@@ -34,6 +35,9 @@
   private static final long COMMIT_WAIT_MILLIS = 250;
   static final long LAPSE_SLACK_MILLIS = 300;
 
+  /** Pause after which it is tried again to forget a worker. */
+  private static final long FORGET_RETRY_MILLIS = 1_000;
+
   /** A single answer that is lost says little, and a record for each would fill the log. */
   private static final int FAILURES_BEFORE_SUSPENSION = 2;
 
@@ -328,6 +332,32 @@
     state.failing.forEach(worker -> lapseIfDue(worker, present));
   }
 
+  /**
+   * Forgets workers that run nothing and said nothing for longer than any lease lasts, so that they
+   * neither count as room nor are looked at. One that was only cut off is met again with its next
+   * heartbeat.
+   */
+  void forgetWhereDue(long nowMillis) {
+    Optional<WorkerSession> next = state.silences.take(nowMillis);
+    while (next.isPresent()) {
+      state.examined(1);
+      WorkerSession worker = next.get();
+      if (state.sessions.get(worker.info.key()) == worker) {
+        forgetIfDue(worker, nowMillis);
+      }
+      next = state.silences.take(nowMillis);
+    }
+  }
+
+  private void forgetIfDue(WorkerSession worker, long nowMillis) {
+    long heardMillis = Math.max(worker.answeredMillis, worker.heardMillis);
+    long silentFromMillis = heardMillis + state.longestLeaseMillis() + LAPSE_SLACK_MILLIS;
+    if (nowMillis >= silentFromMillis && worker.runs.isEmpty()) {
+      orders.lifetimeOver(worker);
+    }
+    state.silences.add(worker, Math.max(silentFromMillis, nowMillis + FORGET_RETRY_MILLIS));
+  }
+
   private void lapseIfDue(WorkerSession worker, Present present) {
     if (worker.runs.isEmpty()) {
       return;
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
@@ -256,4 +256,24 @@
     assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
   }
+
+  /** Workers that were gone for good counted as room, and were looked at for ever. */
+  @Test
+  void workerThatIsGoneForGoodIsForgottenAndMetAgainIfItComesBack() {
+    EmulatedScope world = new EmulatedScope(35, 4, true);
+    world.run(2_000);
+    final Resources all = world.ledger.capacity(EmulatedScope.POOL);
+    long lease = ScopeSettings.DEFAULT.leaseMillis();
+    world.cut("w2", 3 * lease);
+    world.run(2 * lease);
+    assertThat(world.ledger.workers()).hasSize(3);
+    assertThat(world.ledger.capacity(EmulatedScope.POOL).accelerators())
+        .isLessThan(all.accelerators());
+    world.run(2 * lease);
+    assertThat(world.ledger.capacity(EmulatedScope.POOL)).isEqualTo(all);
+    world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 1_000);
+    world.run(4_000);
+    assertThat(world.checker.violations).isEmpty();
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+  }
 }
