--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -110,11 +110,6 @@
     }
   }
 
-  /** Notes that the ledger was replaced as a whole. */
-  void restored() {
-    scheduler.restored();
-  }
-
   // Events
 
   /** Hands an event in and carries out what follows; planning comes later. */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -61,6 +61,7 @@
   private final ScopeMeters meters;
   private final SealedCodec codec = new SealedCodec(ScopeCommand.class);
   private final ScopeLedger ledger;
+  private final ScopeScheduler decisions;
   private final SchedulerRunner scheduler;
   private final ScopeCalls calls;
   private final ReplicatedLog<ScopeResult> log;
@@ -106,6 +107,7 @@
     this.events = ports.events();
     this.meters = ports.meters();
     this.ledger = ledger;
+    this.decisions = scheduler;
     this.calls = new ScopeCalls(ledger);
     this.log =
         new ReplicatedLog<>(
@@ -422,7 +424,7 @@
     @Override
     public void restore(byte[] state) throws WireException {
       ledger.restore(codec.read(state, ScopeSnapshot.class));
-      scheduler.restored();
+      decisions.restored();
     }
 
     @Override
--- /dev/null
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SnapshotStartTest.java
@@ -0,0 +1,95 @@
+package org.primrosegauge.node.scope;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.StorageException;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.log.HardState;
+import org.primrosegauge.core.log.LogAction;
+import org.primrosegauge.core.log.LogIndex;
+import org.primrosegauge.core.log.LogSnapshot;
+import org.primrosegauge.core.log.Membership;
+import org.primrosegauge.core.log.RecoveredLog;
+import org.primrosegauge.core.log.StorageId;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeConfiguration;
+import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.core.scope.ScopeScheduler;
+import org.primrosegauge.core.scope.cfg.ScopeSettings;
+import org.primrosegauge.node.log.LogStorage;
+import org.primrosegauge.node.log.SealedCodec;
+import org.primrosegauge.node.metrics.NodeMetrics;
+import org.primrosegauge.node.transport.PeerSecurity;
+import org.primrosegauge.node.transport.PeerTransport;
+import org.primrosegauge.wire.FrameCodec;
+import org.primrosegauge.wire.MessageTypes;
+
+/** A replica whose storage holds a snapshot. */
+class SnapshotStartTest {
+
+  private static final InstanceId SELF = new InstanceId("a");
+  private static final LogIndex INDEX = new LogIndex(7);
+
+  /** Storage with a snapshot and nothing after it. */
+  private record SnapshotStorage(byte[] state) implements LogStorage {
+
+    @Override
+    public RecoveredLog recover() {
+      return new RecoveredLog(
+          new StorageId("s"),
+          HardState.INITIAL,
+          new LogSnapshot(INDEX, new Term(2), 0, Membership.NONE, state),
+          List.of());
+    }
+
+    @Override
+    public void write(LogAction.Persist write) {
+      // Not part of this test.
+    }
+
+    @Override
+    public void sync() {
+      // Not part of this test.
+    }
+
+    @Override
+    public void close() {
+      // Nothing is open.
+    }
+  }
+
+  @Test
+  void replicaStartsFromSnapshot() throws StorageException {
+    ScopeLedger before = new ScopeLedger(60_000);
+    before.apply(
+        new ScopeCommand.Configure(
+            new ScopeConfiguration(new Revision(3), List.of(), List.of(), 1_000), "text"));
+    byte[] state = new SealedCodec(ScopeCommand.class).write(before.snapshot());
+    ScopeLedger ledger = new ScopeLedger(60_000);
+    NodeMetrics metrics = new NodeMetrics();
+    FrameCodec frames = new FrameCodec(MessageTypes.builder().build());
+    new ScopeDuty(
+        ScopeInstance.logSettings(SELF, List.of(), 1),
+        ledger,
+        new ScopeScheduler(ledger, ScopeSettings.DEFAULT),
+        new ScopeDuty.Ports(
+            new SnapshotStorage(state),
+            new Random(1),
+            () -> 0,
+            () -> 0,
+            new PeerTransport(SELF, frames, metrics, PeerSecurity.NONE),
+            null,
+            new ScopeEventLog(metrics),
+            new ScopeMeters(metrics),
+            failure -> {
+              throw new IllegalStateException(failure);
+            }));
+    assertThat(ledger.configuration().revision()).isEqualTo(new Revision(3));
+    assertThat(ledger.content()).isEqualTo("text");
+  }
+}
