--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/Journal.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/Journal.java
@@ -54,6 +54,16 @@
     this.store = new JournalStore(folder, newStorage, segmentBytes);
   }
 
+  /**
+   * Proves that the folder takes writes, by some that are deleted again.
+   *
+   * @throws StorageException when it does not
+   * @since 0.3
+   */
+  public void proveWritable() throws StorageException {
+    store.proveWritable();
+  }
+
   @Override
   public RecoveredLog recover() throws StorageException {
     return store.recover();
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/JournalStore.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/JournalStore.java
@@ -29,6 +29,11 @@
 
   private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
 
+  /** A file that says nothing and may be left over. */
+  private static final String PROBE = "probe" + JournalNames.TEMPORARY;
+
+  private static final int PROBE_BYTES = 64 * 1024;
+
   private final JournalFolder folder;
   private final StorageId newStorage;
   private final int segmentBytes;
@@ -69,6 +74,17 @@
     }
   }
 
+  /** Writes, syncs and deletes a file of some size. */
+  public void proveWritable() throws StorageException {
+    try (JournalFile file = folder.open(PROBE)) {
+      file.append(new byte[PROBE_BYTES]);
+      file.sync();
+      folder.delete(PROBE);
+    } catch (IOException e) {
+      throw StorageErrors.failed("writing to the data folder", folder.toString(), e);
+    }
+  }
+
   private void readContent() throws StorageException, IOException {
     JournalRecovery recovery = new JournalRecovery(folder, codec);
     segmentNumber = recovery.recover();
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/StorageErrors.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/StorageErrors.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import org.primrosegauge.core.StorageException;
+import org.primrosegauge.core.StorageUnavailableException;
 
 /** Creates the journal's errors. Stateless. */
 public final class StorageErrors {
@@ -10,6 +11,10 @@
       "keep this folder for analysis and start the instance with an empty one: it comes back as a"
           + " learner and is readmitted; do not copy files from another instance";
 
+  private static final String CHECK_DISK =
+      "check the disk for errors and free space; the instance keeps its log again once the disk"
+          + " takes writes";
+
   private StorageErrors() {}
 
   /** A record that was synced cannot be read any more. */
@@ -43,18 +48,13 @@
 
   /** An operation of the file system failed, for example because the disk is full. */
   public static StorageException failed(String operation, String location, IOException cause) {
-    return new StorageException(
-        operation + " failed: " + cause.getMessage(),
-        "check the disk for errors and free space, then start the instance again",
-        location,
-        cause);
+    return new StorageUnavailableException(
+        operation + " failed: " + cause.getMessage(), CHECK_DISK, location, cause);
   }
 
   /** An earlier operation failed, so what is durable is not known. */
   public static StorageException closed(String location) {
-    return new StorageException(
-        "the journal is closed because an earlier write or sync failed",
-        "check the disk for errors and free space, then start the instance again",
-        location);
+    return new StorageUnavailableException(
+        "the journal is closed because an earlier write or sync failed", CHECK_DISK, location);
   }
 }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
@@ -79,7 +79,7 @@
   // Settings
 
   /**
-   * Connects the ledger of an instance that keeps one.
+   * Connects the ledger of an instance that keeps one; null while it cannot be kept.
    *
    * @since 0.2
    */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
@@ -14,6 +14,7 @@
 import org.primrosegauge.node.duty.Duty;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.journal.Journal;
+import org.primrosegauge.node.log.StorageSupervisor;
 import org.primrosegauge.node.log.TimedStorage;
 import org.primrosegauge.node.metrics.NodeMetrics;
 import org.primrosegauge.node.scope.cfg.ScopeNodeSettings;
@@ -45,6 +46,7 @@
   private static final int RING_CAPACITY = 1_024;
   private static final long HOUSEKEEPING_MILLIS = 250;
   private static final long JOIN_MILLIS = 500;
+  private static final long STORAGE_CHECK_MILLIS = 250;
   private static final int VOTER_LOSS_MILLIS = 8_000;
   private static final int HEARTBEAT_MILLIS = 200;
   private static final int ELECTION_MIN_MILLIS = 700;
@@ -53,9 +55,15 @@
   private final ScopeNodeSettings settings;
   private final MonotonicClock clock = MonotonicClock.system();
   private final NodeMetrics metrics = new NodeMetrics();
+  private final ScopeEventLog events = new ScopeEventLog(metrics);
+  private final ScopeMeters meters = new ScopeMeters(metrics);
   private final PeerTransport transport;
   private final ScopeClient client;
-  private final ScopeDuty ledger;
+
+  /** The ledger, on an instance with a data folder; null on others. */
+  private final StorageSupervisor<ScopeDuty> ledger;
+
+  private final Duty storage;
   private final Duty housekeeping;
   private long nextJoinMillis;
 
@@ -63,7 +71,9 @@
    * Creates an instance that does not run yet.
    *
    * @param workers port to the workers; used while this instance leads
-   * @param onStorageFailure told once when the storage becomes unusable; the process must then end
+   * @param onStorageFailure told when the storage cannot be used until someone sees to it; the
+   *     process must then end. Where only an operation failed, such as on a full disk, the instance
+   *     goes on without its ledger until the storage takes writes again
    * @throws StorageException when the storage cannot be recovered
    * @since 0.2
    */
@@ -81,36 +91,51 @@
                 transport.ask(to, question, ScopeMessage.Answer.class, timeout),
             clock,
             settings.seeds());
-    this.ledger = settings.dataFolder().isPresent() ? openLedger(workers, onStorageFailure) : null;
+    this.ledger = settings.dataFolder().isPresent() ? supervisor(workers, onStorageFailure) : null;
+    this.storage =
+        new Duty("storage", RING_CAPACITY, STORAGE_CHECK_MILLIS, clock, this::superviseStorage);
     this.housekeeping =
         new Duty("housekeeping", RING_CAPACITY, HOUSEKEEPING_MILLIS, clock, this::keepHouse);
   }
 
+  private StorageSupervisor<ScopeDuty> supervisor(
+      WorkerOrders workers, Consumer<StorageException> onStorageFailure) throws StorageException {
+    StorageSupervisor<ScopeDuty> supervisor =
+        new StorageSupervisor<>(
+            onFailure -> openLedger(workers, onFailure),
+            ScopeDuty::start,
+            () -> journal().proveWritable(),
+            onStorageFailure);
+    supervisor.open();
+    return supervisor;
+  }
+
+  private Journal journal() {
+    return new Journal(settings.dataFolder().orElseThrow().resolve(LOG_FOLDER));
+  }
+
   private ScopeDuty openLedger(WorkerOrders workers, Consumer<StorageException> onStorageFailure)
       throws StorageException {
     List<InstanceId> initialVoters = settings.isFirstStart() ? settings.seeds() : List.of();
     RandomGenerator random =
         RandomGeneratorFactory.<RandomGenerator>of("L64X128MixRandom").create();
     ScopeLedger state = new ScopeLedger(settings.retentionMillis());
-    ScopeDuty duty =
-        new ScopeDuty(
-            logSettings(settings.self(), initialVoters, settings.targetVoters()),
-            state,
-            new ScopeScheduler(state, settings.scheduling()),
-            new ScopeDuty.Ports(
-                new TimedStorage(
-                    new Journal(settings.dataFolder().orElseThrow().resolve(LOG_FOLDER)),
-                    millis -> metrics.time("primrosegauge.log.sync", "journal", "done", millis)),
-                random,
-                clock,
-                System::currentTimeMillis,
-                transport,
-                workers,
-                new ScopeEventLog(metrics),
-                new ScopeMeters(metrics),
-                onStorageFailure));
-    client.attach(duty);
-    return duty;
+    return new ScopeDuty(
+        logSettings(settings.self(), initialVoters, settings.targetVoters()),
+        state,
+        new ScopeScheduler(state, settings.scheduling()),
+        new ScopeDuty.Ports(
+            new TimedStorage(
+                journal(),
+                millis -> metrics.time("primrosegauge.log.sync", "journal", "done", millis)),
+            random,
+            clock,
+            System::currentTimeMillis,
+            transport,
+            workers,
+            events,
+            meters,
+            onStorageFailure));
   }
 
   /** Returns the settings of the log: a lost leader is replaced before most callers give up. */
@@ -132,6 +157,8 @@
     transport.start(settings.self().value(), settings.peerPort());
     if (ledger != null) {
       ledger.start();
+      client.attach(ledger.present());
+      storage.start();
     }
     housekeeping.start();
     LOG.info(
@@ -144,6 +171,7 @@
   @Override
   public void close() {
     housekeeping.close();
+    storage.close();
     if (ledger != null) {
       ledger.close();
     }
@@ -158,8 +186,9 @@
    * @since 0.3
    */
   public void handOver() {
-    if (ledger != null) {
-      ledger.handOver();
+    ScopeDuty open = openLedger();
+    if (open != null) {
+      open.handOver();
     }
   }
 
@@ -198,12 +227,22 @@
     return new PeerAddress(peer, peer.value(), settings.peerPort());
   }
 
+  /** Returns the ledger; null on an instance that keeps none, or cannot at present. */
+  private ScopeDuty openLedger() {
+    return ledger == null ? null : ledger.present();
+  }
+
+  private void superviseStorage(long nowMillis) {
+    ledger.tick(nowMillis);
+    client.attach(ledger.present());
+  }
+
   private void keepHouse(long nowMillis) {
     client.tick(nowMillis);
-    if (ledger != null && nowMillis >= nextJoinMillis) {
+    ScopeDuty open = openLedger();
+    if (open != null && nowMillis >= nextJoinMillis) {
       nextJoinMillis = nowMillis + JOIN_MILLIS;
-      ledger
-          .joinIfNeeded()
+      open.joinIfNeeded()
           .subscribe(
               join -> client.known().forEach(peer -> transport.tell(peer, join)),
               error -> LOG.warn("membership is not known: {}", error.getMessage()));
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/journal/JournalTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/journal/JournalTest.java
@@ -83,8 +83,13 @@
       } catch (StorageException e) {
         Journal broken = journal;
         assertThrows(StorageException.class, broken::sync);
-        folder.crash(random);
+        if (random.nextBoolean()) {
+          folder.crash(random);
+        } else {
+          folder.workAgain();
+        }
         journal = open(folder);
+        journal.proveWritable();
         oracle.check(journal.recover());
       }
     }
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/journal/MemoryFolder.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/journal/MemoryFolder.java
@@ -39,6 +39,12 @@
     syncsUntilFailure = syncs;
   }
 
+  /** Takes writes again; the process that has the folder goes on. */
+  void workAgain() {
+    operationsUntilFailure = Integer.MAX_VALUE;
+    syncsUntilFailure = Integer.MAX_VALUE;
+  }
+
   /** Loses or tears what was not synced, and ends the process that had the folder. */
   void crash(SplittableRandom random) {
     List<TreeMap<String, Content>> states = new ArrayList<>();
@@ -48,8 +54,7 @@
     names.values().forEach(content -> tear(content, random));
     sync();
     locked = false;
-    operationsUntilFailure = Integer.MAX_VALUE;
-    syncsUntilFailure = Integer.MAX_VALUE;
+    workAgain();
   }
 
   private static void tear(Content content, SplittableRandom random) {
