--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
@@ -186,7 +186,7 @@
    * @since 0.3
    */
   public void handOver() {
-    ScopeDuty open = openLedger();
+    ScopeDuty open = presentLedger();
     if (open != null) {
       open.handOver();
     }
@@ -228,7 +228,7 @@
   }
 
   /** Returns the ledger; null on an instance that keeps none, or cannot at present. */
-  private ScopeDuty openLedger() {
+  private ScopeDuty presentLedger() {
     return ledger == null ? null : ledger.present();
   }
 
@@ -239,7 +239,7 @@
 
   private void keepHouse(long nowMillis) {
     client.tick(nowMillis);
-    ScopeDuty open = openLedger();
+    ScopeDuty open = presentLedger();
     if (open != null && nowMillis >= nextJoinMillis) {
       nextJoinMillis = nowMillis + JOIN_MILLIS;
       open.joinIfNeeded()
