Ids and keys compare without generated code; ids are checked without a regular expression

Cause, seen while the start of a process was measured: equals and hashCode of records are put together at run time, at the first call of each record, and stay several times as slow under the compiler that the deployment uses. A leader looks up runs, steps and workers by such keys in each event, and has just started when it matters most.

Ruled out: other records; they are no keys of the leader's maps. Behaviour is unchanged; IdsTest and the index tests cover it.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/CustomerId.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/CustomerId.java
@@ -30,6 +30,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof CustomerId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/FailureDomainId.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/FailureDomainId.java
@@ -30,6 +30,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof FailureDomainId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/HostPort.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/HostPort.java
@@ -40,6 +40,16 @@
     return new HostPort(host, port);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof HostPort that && port == that.port && host.equals(that.host);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * host.hashCode() + port;
+  }
+
   @Override
   public String toString() {
     return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + port;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/InstanceId.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/InstanceId.java
@@ -30,6 +30,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof InstanceId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/JobId.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/JobId.java
@@ -30,6 +30,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof JobId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/Names.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/Names.java
@@ -1,7 +1,5 @@
 package org.primrosegauge.core;
 
-import java.util.regex.Pattern;
-
 /**
  * Syntax that all ids share: 1 to 64 characters of {@code a-z 0-9 . _ -}, the first a letter or
  * digit.
@@ -15,9 +13,6 @@
   /** Longest id, in characters. */
   public static final int MAX_LENGTH = 64;
 
-  private static final Pattern SYNTAX =
-      Pattern.compile("[a-z0-9][a-z0-9._-]{0," + (MAX_LENGTH - 1) + "}");
-
   private Names() {}
 
   /**
@@ -27,7 +22,22 @@
    * @since 0.1
    */
   public static boolean isValid(String text) {
-    return text != null && SYNTAX.matcher(text).matches();
+    boolean hasLength = text != null && !text.isEmpty() && text.length() <= MAX_LENGTH;
+    return hasLength && isLetterOrDigit(text.charAt(0)) && hasOnlyIdCharacters(text);
+  }
+
+  private static boolean hasOnlyIdCharacters(String text) {
+    for (int i = 1; i < text.length(); i++) {
+      char next = text.charAt(i);
+      if (!isLetterOrDigit(next) && next != '.' && next != '_' && next != '-') {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private static boolean isLetterOrDigit(char character) {
+    return character >= 'a' && character <= 'z' || character >= '0' && character <= '9';
   }
 
   /**
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/Revision.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/Revision.java
@@ -32,6 +32,16 @@
     return Long.compare(number, other.number);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Revision that && number == that.number;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(number);
+  }
+
   @Override
   public String toString() {
     return Long.toString(number);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/ServiceId.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/ServiceId.java
@@ -30,6 +30,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ServiceId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/TargetId.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/TargetId.java
@@ -30,6 +30,16 @@
     return value.compareTo(other.value);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TargetId that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/Term.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/Term.java
@@ -42,6 +42,16 @@
     return Long.compare(number, other.number);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Term that && number == that.number;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(number);
+  }
+
   @Override
   public String toString() {
     return Long.toString(number);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/QueueName.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/QueueName.java
@@ -15,6 +15,16 @@
     }
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof QueueName that && value.equals(that.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public String toString() {
     return value;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/RunId.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/RunId.java
@@ -9,6 +9,16 @@
  */
 public record RunId(TaskKey task, int attempt) {
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof RunId that && attempt == that.attempt && task.equals(that.task);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * task.hashCode() + attempt;
+  }
+
   @Override
   public String toString() {
     return task + "#" + attempt;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepKey.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepKey.java
@@ -21,6 +21,19 @@
     return new TaskKey(job, occurrence, step, index);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof StepKey that
+        && occurrence == that.occurrence
+        && step == that.step
+        && job.equals(that.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * (31 * job.hashCode() + occurrence) + step;
+  }
+
   @Override
   public String toString() {
     return job + "." + occurrence + "." + step;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/TaskKey.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/TaskKey.java
@@ -22,6 +22,20 @@
     return new StepKey(job, occurrence, step);
   }
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TaskKey that
+        && occurrence == that.occurrence
+        && step == that.step
+        && index == that.index
+        && job.equals(that.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * (31 * (31 * job.hashCode() + occurrence) + step) + index;
+  }
+
   @Override
   public String toString() {
     return job + "." + occurrence + "." + step + "." + index;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerKey.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerKey.java
@@ -12,6 +12,18 @@
  */
 public record WorkerKey(TargetId target, long bornMillis) {
 
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof WorkerKey that
+        && bornMillis == that.bornMillis
+        && target.equals(that.target);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * target.hashCode() + Long.hashCode(bornMillis);
+  }
+
   @Override
   public String toString() {
     return target + "@" + bornMillis;
