--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/Journal.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/Journal.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.HexFormat;
+import java.util.function.Supplier;
 import org.primrosegauge.core.StorageException;
 import org.primrosegauge.core.log.LogAction;
 import org.primrosegauge.core.log.RecoveredLog;
@@ -39,18 +40,18 @@
    * @since 0.1
    */
   public Journal(Path folder) {
-    this(new StdJournalFolder(folder), randomStorageId(), SEGMENT_BYTES);
+    this(new StdJournalFolder(folder), Journal::randomStorageId, SEGMENT_BYTES);
   }
 
   /**
    * Creates a journal in any folder.
    *
    * @param folder port to the files
-   * @param newStorage id that the folder gets when it is empty
+   * @param newStorage creates the id that the folder gets when it is empty
    * @param segmentBytes size after which a segment is followed by another
    * @since 0.1
    */
-  public Journal(JournalFolder folder, StorageId newStorage, int segmentBytes) {
+  public Journal(JournalFolder folder, Supplier<StorageId> newStorage, int segmentBytes) {
     this.store = new JournalStore(folder, newStorage, segmentBytes);
   }
 
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/JournalStore.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/JournalStore.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.List;
+import java.util.function.Supplier;
 import org.primrosegauge.core.StorageException;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.log.LogAction.Persist;
@@ -35,7 +36,7 @@
   private static final int PROBE_BYTES = 64 * 1024;
 
   private final JournalFolder folder;
-  private final StorageId newStorage;
+  private final Supplier<StorageId> newStorage;
   private final int segmentBytes;
   private final JournalCodec codec = new JournalCodec();
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
@@ -47,7 +48,7 @@
   private boolean failed;
 
   /** Creates the store; touches nothing yet. */
-  public JournalStore(JournalFolder folder, StorageId newStorage, int segmentBytes) {
+  public JournalStore(JournalFolder folder, Supplier<StorageId> newStorage, int segmentBytes) {
     this.folder = folder;
     this.newStorage = newStorage;
     this.segmentBytes = segmentBytes;
@@ -258,9 +259,10 @@
     // The format file comes last: with it, a missing segment is damage, never a new folder.
     segmentNumber = 1;
     writeFile(first, codec.write(Type.START, start(true)).encode());
-    JournalFormat format = new JournalFormat(JournalFormat.VERSION, newStorage);
+    StorageId created = newStorage.get();
+    JournalFormat format = new JournalFormat(JournalFormat.VERSION, created);
     writeFile(JournalNames.FORMAT, codec.write(Type.FORMAT, format).encode());
-    return newStorage;
+    return created;
   }
 
   private StorageId readFormat() throws IOException, StorageException {
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/journal/JournalTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/journal/JournalTest.java
@@ -43,7 +43,7 @@
   private static final String FIRST_SEGMENT = "segment-0000000000000001";
 
   private static Journal open(JournalFolder folder) {
-    return new Journal(folder, STORAGE, SMALL_SEGMENT_BYTES);
+    return new Journal(folder, () -> STORAGE, SMALL_SEGMENT_BYTES);
   }
 
   private static Persist entry(long index, long term) {
