Election after a start counts the time that the start has taken

Cause: a replica that starts waits a whole election time, since it may have promised its support to a leader right before it ended. It counted that time from the opening of its log. Any earlier life had ended when its process started, so the time counts from there; a log that is opened again within a process counts from its opening.

Ruled out: a shorter election time (a leader on half a core is late now and then).

ScopeInstance draws its random numbers from SplittableRandom, which is there without a search for generators.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/LogDuty.java
@@ -63,6 +63,7 @@
         new ReplicatedLog<>(
             settings,
             ringCapacity,
+            clock.nowMillis(),
             new ReplicatedLog.Ports(storage, random, clock, transport, onStorageFailure),
             new RegistryState());
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -97,10 +97,13 @@
    * Creates the replica from what the storage holds.
    *
    * @param ringCapacity most tasks that wait for either thread
+   * @param sinceMillis a time by which any earlier life of this replica had ended, in the clock's
+   *     milliseconds; the support that it may have promised to a leader counts from then
    * @throws StorageException when the storage cannot be recovered
    * @since 0.2
    */
-  public ReplicatedLog(LogSettings settings, int ringCapacity, Ports ports, AppliedState<R> state)
+  public ReplicatedLog(
+      LogSettings settings, int ringCapacity, long sinceMillis, Ports ports, AppliedState<R> state)
       throws StorageException {
     this.ports = ports;
     this.state = state;
@@ -120,7 +123,7 @@
             "snapshot", SNAPSHOT_RING_CAPACITY, SNAPSHOT_TICK_MILLIS, ports.clock(), now -> {});
     RecoveredLog recovered = ports.storage().recover();
     restoreFrom(recovered);
-    this.replica = new LogReplica(settings, recovered, ports.random(), now());
+    this.replica = new LogReplica(settings, recovered, ports.random(), sinceMillis);
     ports
         .transport()
         .onTell(
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -97,10 +97,16 @@
   /**
    * Creates the duty from what the storage holds.
    *
+   * @param sinceMillis a time by which any earlier life of this replica had ended
    * @throws StorageException when the storage cannot be recovered
    * @since 0.2
    */
-  public ScopeDuty(LogSettings settings, ScopeLedger ledger, ScopeScheduler scheduler, Ports ports)
+  public ScopeDuty(
+      LogSettings settings,
+      ScopeLedger ledger,
+      ScopeScheduler scheduler,
+      long sinceMillis,
+      Ports ports)
       throws StorageException {
     this.clock = ports.clock();
     this.wallClock = ports.wallClock();
@@ -113,6 +119,7 @@
         new ReplicatedLog<>(
             settings,
             RING_CAPACITY,
+            sinceMillis,
             new ReplicatedLog.Ports(
                 ports.storage(),
                 ports.random(),
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
@@ -2,9 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.StorageException;
 import org.primrosegauge.core.log.LogMessage;
@@ -53,6 +53,7 @@
   private static final int ELECTION_MAX_MILLIS = 1_300;
 
   private final ScopeNodeSettings settings;
+  private final long startedMillis;
   private final MonotonicClock clock = MonotonicClock.system();
   private final NodeMetrics metrics = new NodeMetrics();
   private final ScopeEventLog events = new ScopeEventLog(metrics);
@@ -65,11 +66,13 @@
 
   private final Duty storage;
   private final Duty housekeeping;
+  private boolean hasOpened;
   private long nextJoinMillis;
 
   /**
    * Creates an instance that does not run yet.
    *
+   * @param startedMillis when the process started, in milliseconds of the monotonic clock
    * @param workers port to the workers; used while this instance leads
    * @param onStorageFailure told when the storage cannot be used until someone sees to it; the
    *     process must then end. Where only an operation failed, such as on a full disk, the instance
@@ -78,9 +81,13 @@
    * @since 0.2
    */
   public ScopeInstance(
-      ScopeNodeSettings settings, WorkerOrders workers, Consumer<StorageException> onStorageFailure)
+      ScopeNodeSettings settings,
+      long startedMillis,
+      WorkerOrders workers,
+      Consumer<StorageException> onStorageFailure)
       throws StorageException {
     this.settings = settings;
+    this.startedMillis = startedMillis;
     this.transport =
         new PeerTransport(settings.self(), new FrameCodec(TYPES), metrics, PeerSecurity.NONE);
     transport.resolver(peer -> Optional.of(addressOf(peer)));
@@ -116,14 +123,17 @@
 
   private ScopeDuty openLedger(WorkerOrders workers, Consumer<StorageException> onStorageFailure)
       throws StorageException {
+    // An earlier ledger of this process has lived until now.
+    long sinceMillis = hasOpened ? clock.nowMillis() : startedMillis;
+    hasOpened = true;
     List<InstanceId> initialVoters = settings.isFirstStart() ? settings.seeds() : List.of();
-    RandomGenerator random =
-        RandomGeneratorFactory.<RandomGenerator>of("L64X128MixRandom").create();
+    RandomGenerator random = new SplittableRandom(settings.self().hashCode() ^ System.nanoTime());
     ScopeLedger state = new ScopeLedger(settings.retentionMillis());
     return new ScopeDuty(
         logSettings(settings.self(), initialVoters, settings.targetVoters()),
         state,
         new ScopeScheduler(state, settings.scheduling()),
+        sinceMillis,
         new ScopeDuty.Ports(
             new TimedStorage(
                 journal(),
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/log/SnapshotStallTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/log/SnapshotStallTest.java
@@ -109,6 +109,7 @@
         new ReplicatedLog<>(
             LogSettings.of(SELF, List.of(SELF)),
             RING_CAPACITY,
+            MonotonicClock.system().nowMillis(),
             new ReplicatedLog.Ports(
                 new WatchedStorage(),
                 new Random(1),
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
@@ -41,6 +41,7 @@
 import org.primrosegauge.core.scope.WorkerKey;
 import org.primrosegauge.core.scope.WorkerStatus;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
+import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.scope.cfg.ScopeNodeSettings;
 import reactor.core.publisher.Mono;
 
@@ -89,6 +90,7 @@
     ScopeInstance instance =
         new ScopeInstance(
             settings,
+            MonotonicClock.system().nowMillis(),
             worker,
             failure -> {
               throw new IllegalStateException(failure);
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SnapshotStartTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SnapshotStartTest.java
@@ -77,6 +77,7 @@
         ScopeInstance.logSettings(SELF, List.of(), 1),
         ledger,
         new ScopeScheduler(ledger, ScopeSettings.DEFAULT),
+        0,
         new ScopeDuty.Ports(
             new SnapshotStorage(state),
             new Random(1),
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/StaleCallTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/StaleCallTest.java
@@ -173,6 +173,7 @@
             settings(),
             ledger,
             new ScopeScheduler(ledger, ScopeSettings.DEFAULT),
+            now(),
             new ScopeDuty.Ports(
                 new GatedStorage(),
                 new Random(1),
