--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadBench.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadBench.java
@@ -61,6 +61,8 @@
   private List<Figure> figures(LoadPattern pattern, LoadOutcome ours, LoadOutcome naive) {
     String prefix = "load." + pattern.name().toLowerCase().replace('_', '-') + ".";
     List<Figure> figures = new ArrayList<>();
+    figures.add(
+        Figure.plain(prefix + "worst-windows", ours.worstWindows(), "share", naive.worstWindows()));
     figures.add(Figure.plain(prefix + "jobs", ours.size(), "jobs", naive.size()));
     figures.add(Figure.plain(prefix + "worth", ours.worthShare(), "share", naive.worthShare()));
     figures.add(Figure.plain(prefix + "stops", ours.stops, "runs", naive.stops));
@@ -80,7 +82,7 @@
         figures.addAll(
             served(name + "large.", ours, naive, job -> job.kind() == kind && ours.isLarge(job)));
       }
-      for (CustomerSpec customer : LoadFleet.CUSTOMERS) {
+      for (CustomerSpec customer : pattern.fleet().customers()) {
         figures.addAll(
             served(
                 prefix + "customer-" + customer.id() + ".",
--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadDraw.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadDraw.java
@@ -13,7 +13,7 @@
 import org.primrosegauge.core.scope.StepSpec;
 
 /**
- * Draws the load of a pattern; the same seed gives the same load.
+ * Draws the load of a pattern on the small fleet; the same seed gives the same load.
  *
  * <p>Sizes and times follow the users' sheets: urgent gangs of a few tasks with up to eight
  * accelerators each, gangs of tasks of 26 cores, chains of wide steps of small tasks. Estimates are
@@ -21,6 +21,7 @@
  */
 final class LoadDraw {
 
+  private static final LoadFleet FLEET = LoadFleet.SMALL;
   private static final long LENGTH_MILLIS = 40_000;
   private static final long WARM_UP_MILLIS = 2_000;
   private static final double TIME_SPREAD = 0.5;
@@ -42,13 +43,16 @@
   }
 
   static LoadPlan draw(LoadPattern pattern, long seed) {
+    if (pattern.isLarge()) {
+      return LargeLoadDraw.draw(pattern, seed);
+    }
     LoadDraw draw = new LoadDraw(pattern, seed);
     for (LoadKind kind : LoadKind.values()) {
       draw.arrivals(kind, 0, LENGTH_MILLIS, kind.perSecond() * draw.factor());
     }
     draw.burst();
     draw.jobs.sort(Comparator.comparingLong(LoadJob::atMillis));
-    return new LoadPlan(List.copyOf(draw.jobs), draw.troubles(), LENGTH_MILLIS);
+    return new LoadPlan(FLEET, List.copyOf(draw.jobs), draw.troubles(), LENGTH_MILLIS);
   }
 
   /** Returns the part of the usual arrivals that comes with this pattern. */
@@ -107,6 +111,7 @@
         atMillis,
         steps,
         times,
+        FLEET.objectiveMillis(kind, steps, times),
         isPoison,
         isCancelled ? atMillis + random.nextInt(4_000) : Long.MAX_VALUE);
   }
@@ -117,7 +122,7 @@
     while (index < CUSTOMER_SHARES.length - 1 && left >= CUSTOMER_SHARES[index]) {
       left -= CUSTOMER_SHARES[index++];
     }
-    return LoadFleet.CUSTOMERS.get(index).id();
+    return FLEET.customers().get(index).id();
   }
 
   private StepSpec step(LoadKind kind, int number, long estimate) {
@@ -140,7 +145,7 @@
 
   private StepSpec gang(int count, int milliCores, double checkpoints, long estimate) {
     int accelerators = ACCELERATORS[random.nextInt(ACCELERATORS.length)];
-    int perRack = LoadFleet.FLEET.workersPerRack() * 8 / Math.max(accelerators, 4);
+    int perRack = FLEET.workers().workersPerRack() * 8 / Math.max(accelerators, 4);
     boolean isGang = count > 1;
     return StepSpec.builder(count)
         .task(new Resources(milliCores, 8_000, accelerators))
@@ -152,7 +157,7 @@
   }
 
   private StepSpec wideGang() {
-    return StepSpec.builder(LoadFleet.FLEET.workers() / 4)
+    return StepSpec.builder(FLEET.workers().workers() / 4)
         .task(new Resources(26_000, 8_000, 8))
         .estimatedMillis(5_000)
         .gang(true)
@@ -189,7 +194,7 @@
       }
       return found;
     }
-    for (int worker = 0; worker < LoadFleet.FLEET.workers(); worker += 6) {
+    for (int worker = 0; worker < FLEET.workers().workers(); worker += 6) {
       LoadTrouble.Effect effect = effect("w" + worker);
       if (effect != null) {
         found.add(new LoadTrouble(WARM_UP_MILLIS + 8_000 + 300L * worker, effect));
--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadFleet.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadFleet.java
@@ -12,17 +12,26 @@
 import org.primrosegauge.core.scope.ScopeConfiguration;
 import org.primrosegauge.core.scope.StepSpec;
 import org.primrosegauge.standin.scope.EmulatedFleet;
+import org.primrosegauge.standin.scope.EmulatedLoad;
 
-/** The fleet, the customers and the queues of all replayed loads. */
-final class LoadFleet {
+/**
+ * The workers, the customers and the queues of a replayed load.
+ *
+ * @param workers workers
+ * @param customers customers with the accelerators that each is guaranteed; the first are the large
+ *     ones
+ */
+record LoadFleet(EmulatedFleet workers, List<CustomerSpec> customers) {
 
-  static final EmulatedFleet FLEET =
-      new EmulatedFleet(33, 3, 8, new Resources(64_000, 128 * 1024, 8), 3, 200, 900, true);
-
-  /** Customers with the accelerators that each is guaranteed; the first are the large ones. */
-  static final List<CustomerSpec> CUSTOMERS =
-      List.of(
-          customer("north", 72), customer("east", 48), customer("south", 24), customer("west", 12));
+  /** The fleet of a small site. */
+  static final LoadFleet SMALL =
+      new LoadFleet(
+          new EmulatedFleet(33, 3, 8, new Resources(64_000, 128 * 1024, 8), 3, 200, 900, true),
+          List.of(
+              customer("north", 72),
+              customer("east", 48),
+              customer("south", 24),
+              customer("west", 12)));
 
   static final ServiceId POOL = new ServiceId("pool");
   static final int MAX_ATTEMPTS = 3;
@@ -30,13 +39,27 @@
   private static final int VISIBLE_MILLIS = 1_000;
   private static final int ROOM_SHARES = 4;
 
-  private LoadFleet() {}
+  /** Returns a large fleet over six failure domains, with the customers of the large sites. */
+  static LoadFleet large(int workers) {
+    EmulatedFleet usual = EmulatedLoad.fleet(workers);
+    EmulatedFleet fleet =
+        new EmulatedFleet(
+            workers,
+            6,
+            usual.workersPerRack(),
+            usual.capacity(),
+            usual.distanceFactor(),
+            usual.leastStopMillis(),
+            usual.mostStopMillis(),
+            usual.guards());
+    return new LoadFleet(fleet, EmulatedLoad.configuration(fleet).customers());
+  }
 
   private static CustomerSpec customer(String name, int accelerators) {
     return new CustomerSpec(new CustomerId(name), List.of("key-" + name), accelerators);
   }
 
-  static ScopeConfiguration configuration() {
+  ScopeConfiguration configuration() {
     List<QueueSpec> queues = new ArrayList<>();
     for (LoadKind kind : LoadKind.values()) {
       queues.add(
@@ -51,21 +74,36 @@
               kind.latencyMillis(),
               true));
     }
-    return new ScopeConfiguration(new Revision(1), queues, CUSTOMERS, VISIBLE_MILLIS);
+    return new ScopeConfiguration(new Revision(1), queues, customers, VISIBLE_MILLIS);
   }
 
   /** Returns how many tasks of a step the empty fleet holds. */
-  static int capacityFor(StepSpec step) {
-    Resources all = FLEET.capacity();
+  private int capacityFor(StepSpec step) {
+    Resources all = workers.capacity();
     long most = all.milliCores() / Math.max(1, step.task().milliCores());
     most = Math.min(most, all.memoryMib() / Math.max(1, step.task().memoryMib()));
     most = Math.min(most, all.accelerators() / Math.max(1, step.task().accelerators()));
-    return (int) most * FLEET.workers();
+    return (int) most * workers.workers();
   }
 
   /** Returns in how many waves a step runs that is wider than a quarter of the fleet. */
-  static int wavesOf(StepSpec step) {
+  private int wavesOf(StepSpec step) {
     int quarter = Math.max(1, capacityFor(step) / ROOM_SHARES);
     return step.gang() ? 1 : (step.count() + quarter - 1) / quarter;
   }
+
+  /** Returns the time in which callers expect a job to be done, in milliseconds. */
+  long objectiveMillis(LoadKind kind, List<StepSpec> steps, List<Long> workMillis) {
+    long[] ends = new long[steps.size()];
+    long longest = 0;
+    for (int i = 0; i < ends.length; i++) {
+      long start = 0;
+      for (int earlier : steps.get(i).dependsOn()) {
+        start = Math.max(start, ends[earlier]);
+      }
+      ends[i] = start + workMillis.get(i) * wavesOf(steps.get(i));
+      longest = Math.max(longest, ends[i]);
+    }
+    return (long) (kind.slackFactor() * longest) + kind.latencyMillis();
+  }
 }
--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadJob.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadJob.java
@@ -15,6 +15,9 @@
  * @param atMillis when it is handed in, from the beginning of the load
  * @param steps its steps
  * @param workMillis how long a task of each step takes on a sound worker near its data
+ * @param objectiveMillis time from its submission in which it should be done: its longest chain of
+ *     work, in waves where a step is wider than a quarter of the fleet, times the kind's slack, and
+ *     the kind's latency
  * @param isPoison whether every run fails
  * @param cancelMillis when it is cancelled; the largest value for never
  */
@@ -25,6 +28,7 @@
     long atMillis,
     List<StepSpec> steps,
     List<Long> workMillis,
+    long objectiveMillis,
     boolean isPoison,
     long cancelMillis) {
 
@@ -43,23 +47,4 @@
     }
     return sum / MILLIS_PER_SECOND;
   }
-
-  /**
-   * Returns the time from its submission in which the job should be done: its longest chain of
-   * work, in waves where a step is wider than a quarter of the fleet, times the kind's slack, and
-   * the kind's latency.
-   */
-  long objectiveMillis() {
-    long[] ends = new long[steps.size()];
-    long longest = 0;
-    for (int i = 0; i < ends.length; i++) {
-      long start = 0;
-      for (int earlier : steps.get(i).dependsOn()) {
-        start = Math.max(start, ends[earlier]);
-      }
-      ends[i] = start + workMillis.get(i) * LoadFleet.wavesOf(steps.get(i));
-      longest = Math.max(longest, ends[i]);
-    }
-    return (long) (kind.slackFactor() * longest) + kind.latencyMillis();
-  }
 }
--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadOutcome.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadOutcome.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -33,12 +34,22 @@
   /** An objective missed by less than this factor is still worth a part. */
   private static final int LATE_FACTOR = 3;
 
+  private static final long WINDOW_MILLIS = 2_000;
+  private static final int WORST_WINDOWS = 2;
+
+  /** A window with fewer jobs says little. */
+  private static final int LEAST_IN_WINDOW = 3;
+
   private static final double SIZE_BASE = 0.3;
   private static final double SIZE_SHARE = 0.7;
   private static final double MOST_WORTH = 4;
 
   private final List<JobOutcome> outcomes = new ArrayList<>();
   private final Map<LoadKind, Double> meanWork = new HashMap<>();
+
+  /** Figures of the replays that were added. */
+  private final List<Double> worstWindows = new ArrayList<>();
+
   int stops;
   double lostCoreSeconds;
   double usefulCoreSeconds;
@@ -62,6 +73,7 @@
 
   /** Adds all of another outcome. */
   void addAll(LoadOutcome other) {
+    worstWindows.add(other.worstWindows());
     outcomes.addAll(other.outcomes);
     meanWork.clear();
     stops += other.stops;
@@ -95,11 +107,35 @@
     return waits.getTotalCount() == 0 ? 0 : waits.getValueAtPercentile(percentile) / 1_000.0;
   }
 
+  /**
+   * Returns the worth of what was served of what came in the two worst windows of a replay, over
+   * the worth of all of that; the mean of all replays.
+   */
+  double worstWindows() {
+    if (!worstWindows.isEmpty()) {
+      return worstWindows.stream().mapToDouble(Double::doubleValue).average().orElse(0);
+    }
+    Map<Long, List<JobOutcome>> windows =
+        outcomes.stream()
+            .collect(Collectors.groupingBy(each -> each.job().atMillis() / WINDOW_MILLIS));
+    return windows.values().stream()
+        .filter(window -> window.size() >= LEAST_IN_WINDOW)
+        .mapToDouble(this::worthShare)
+        .sorted()
+        .limit(WORST_WINDOWS)
+        .average()
+        .orElse(0);
+  }
+
   /** Returns the worth of what was served over the worth of everything. */
   double worthShare() {
+    return worthShare(outcomes);
+  }
+
+  private double worthShare(List<JobOutcome> some) {
     double owed = 0;
     double earned = 0;
-    for (JobOutcome each : outcomes) {
+    for (JobOutcome each : some) {
       double size = sizeFactor(each.job());
       owed += size * each.job().kind().worth();
       earned += size * worthOf(each);
--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadPlan.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadPlan.java
@@ -5,8 +5,10 @@
 /**
  * A load to replay.
  *
+ * @param fleet workers and customers
  * @param jobs jobs, by the time of their arrival
  * @param troubles what goes wrong meanwhile
  * @param lengthMillis time until the last arrival
  */
-record LoadPlan(List<LoadJob> jobs, List<LoadTrouble> troubles, long lengthMillis) {}
+record LoadPlan(
+    LoadFleet fleet, List<LoadJob> jobs, List<LoadTrouble> troubles, long lengthMillis) {}
--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadReplay.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/LoadReplay.java
@@ -28,7 +28,7 @@
 
   private LoadReplay(LoadPlan plan, long seed) {
     this.plan = plan;
-    this.scope = new EmulatedScope(seed, LoadFleet.FLEET, LoadFleet.configuration());
+    this.scope = new EmulatedScope(seed, plan.fleet().workers(), plan.fleet().configuration());
     scope.run(WARM_UP_MILLIS);
     this.beginMillis = scope.nowMillis();
   }
--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/NaiveReplay.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/load/NaiveReplay.java
@@ -1,6 +1,7 @@
 package org.primrosegauge.bench.load;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -9,6 +10,7 @@
 import java.util.PriorityQueue;
 import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.scope.StepSpec;
+import org.primrosegauge.standin.scope.EmulatedFleet;
 
 /**
  * Replays the jobs of a load, without its troubles, through the simplest policy: first come, first
@@ -56,19 +58,22 @@
     }
   }
 
-  private final Resources[] free = new Resources[LoadFleet.FLEET.workers()];
+  private final EmulatedFleet fleet;
+  private final Resources[] free;
   private final List<Step> waiting = new ArrayList<>();
   private final PriorityQueue<End> ends =
       new PriorityQueue<>(Comparator.comparingLong(End::atMillis));
   private final Map<LoadJob, JobState> states = new LinkedHashMap<>();
   private double usefulCoreSeconds;
 
-  private NaiveReplay() {
-    java.util.Arrays.fill(free, LoadFleet.FLEET.capacity());
+  private NaiveReplay(EmulatedFleet fleet) {
+    this.fleet = fleet;
+    this.free = new Resources[fleet.workers()];
+    Arrays.fill(free, fleet.capacity());
   }
 
   static LoadOutcome run(LoadPlan plan) {
-    NaiveReplay replay = new NaiveReplay();
+    NaiveReplay replay = new NaiveReplay(plan.fleet().workers());
     for (LoadJob job : plan.jobs()) {
       replay.advance(job.atMillis());
       replay.arrive(job);
@@ -139,10 +144,10 @@
     }
   }
 
-  private static int distanceFactor(Step step, List<Integer> chosen) {
-    int perRack = LoadFleet.FLEET.workersPerRack();
+  private int distanceFactor(Step step, List<Integer> chosen) {
+    int perRack = fleet.workersPerRack();
     long racks = chosen.stream().map(worker -> worker / perRack).distinct().count();
-    return step.spec().rackLocal() && racks > 1 ? LoadFleet.FLEET.distanceFactor() : 1;
+    return step.spec().rackLocal() && racks > 1 ? fleet.distanceFactor() : 1;
   }
 
   private List<Integer> firstFit(Step step) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepSpec.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepSpec.java
@@ -44,6 +44,28 @@
     dependsOn = List.copyOf(dependsOn);
   }
 
+  /**
+   * Returns a copy that runs as fast anywhere.
+   *
+   * @since 0.3
+   */
+  public StepSpec withoutPlace() {
+    return new StepSpec(
+        count,
+        task,
+        estimatedMillis,
+        dependsOn,
+        gang,
+        false,
+        checkpoints,
+        requiredLabel,
+        "",
+        maxPerWorker,
+        speculative,
+        longRunning,
+        maxUnavailable);
+  }
+
   /**
    * Starts a step with the given number of tasks and nothing else set.
    *
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -287,8 +287,12 @@
     drain(name, 3_000);
   }
 
-  /** Lets a worker say that it leaves, and end some time later without another word. */
-  void drain(String name, long staysMillis) {
+  /**
+   * Lets a worker say that it leaves, and end some time later without another word.
+   *
+   * @since 0.3
+   */
+  public void drain(String name, long staysMillis) {
     EmulatedWorker worker = workers.get(name);
     if (worker != null && !worker.drains) {
       worker.drains = true;
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
@@ -33,6 +33,9 @@
   static final long CHECKPOINT_MILLIS = 1_000;
   static final long LONGEST_LEASE_MILLIS = 10_000;
 
+  /** Microseconds of a millisecond. */
+  private static final long MICROS = 1_000;
+
   /** A run that is there. */
   static final class Run {
     final RunId id;
@@ -40,6 +43,7 @@
     final long workMillis;
     final boolean fails;
     final long startedMillis;
+    private long progressMicros;
     long progressMillis;
     long savedMillis;
     long stopAtMillis = Long.MAX_VALUE;
@@ -53,8 +57,14 @@
       this.startedMillis = now;
       this.saved = checkpoint;
       this.progressMillis = checkpoint.isEmpty() ? 0 : Long.parseLong(checkpoint.split("-")[1]);
+      this.progressMicros = progressMillis * MICROS;
       this.savedMillis = progressMillis;
     }
+
+    private void advance(long micros) {
+      progressMicros += micros;
+      progressMillis = progressMicros / MICROS;
+    }
   }
 
   final WorkerInfo info;
@@ -218,8 +228,7 @@
     if (stalls) {
       return;
     }
-    run.progressMillis +=
-        Math.max(1, step / (slowness * world.gangs.distanceFactor(run, info.rack())));
+    run.advance(step * MICROS / (slowness * world.gangs.distanceFactor(run, info.rack())));
     if (run.spec.checkpoints() && run.progressMillis % CHECKPOINT_MILLIS < step) {
       save(run);
     }
