That a worker leaves is in the log before the worker is told that it is known

Ruled out: waiting for a heartbeat of each worker after a change of leader; all workers would stand idle meanwhile.

Change: SwitchDrain records the leave; the heartbeat is answered when it is committed. A new leader opens its session as leaving.

workerThatIsLeavingGetsNothingFromTheNextLeader failed before (8 runs there), passes now.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeCommand.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeCommand.java
@@ -94,6 +94,15 @@
    */
   record ForgetWorker(WorkerKey worker) implements ScopeCommand {}
 
+  /**
+   * Records that a worker leaves, or that it stays after all, before it is told that this is known.
+   *
+   * @param worker worker and lifetime
+   * @param isDraining whether it leaves
+   * @since 0.3
+   */
+  record SwitchDrain(WorkerKey worker, boolean isDraining) implements ScopeCommand {}
+
   /**
    * Records that the leases of workers are renewed no more, or are again. The leader that proposes
    * it renews none from its proposal on, or until it is applied.
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -215,6 +215,8 @@
       seeWorker(seen.worker());
     } else if (command instanceof ScopeCommand.ForgetWorker gone) {
       forgetWorker(gone.worker());
+    } else if (command instanceof ScopeCommand.SwitchDrain order) {
+      worker(order.worker()).ifPresent(worker -> worker.drain(order.isDraining()));
     } else if (command instanceof ScopeCommand.SwitchRenewal order) {
       switchRenewal(order);
     }
@@ -246,6 +248,7 @@
     for (ScopeSnapshot.WorkerState worker : snapshot.workers()) {
       WorkerRecord record = new WorkerRecord(worker.info(), worker.lastEnd());
       record.openRuns().addAll(worker.openRuns());
+      record.drain(worker.draining());
       record.suspendRenewal(worker.renewalSuspended());
       workers.add(record);
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
@@ -31,17 +31,23 @@
    * @param info what it announced
    * @param lastEnd number of the last end recorded
    * @param openRuns runs that may be going on there
+   * @param draining whether it leaves
    * @param renewalSuspended whether no leader renews the lease of these
    * @since 0.2
    */
   public record WorkerState(
-      WorkerInfo info, long lastEnd, List<RunId> openRuns, boolean renewalSuspended) {
+      WorkerInfo info,
+      long lastEnd,
+      List<RunId> openRuns,
+      boolean draining,
+      boolean renewalSuspended) {
 
     static WorkerState of(WorkerRecord worker) {
       return new WorkerState(
           worker.info(),
           worker.lastEnd(),
           List.copyOf(worker.openRuns()),
+          worker.isDraining(),
           worker.isRenewalSuspended());
     }
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerRecord.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerRecord.java
@@ -15,6 +15,7 @@
   private final WorkerInfo info;
   private final Set<RunId> openRuns = new LinkedHashSet<>();
   private long lastEnd;
+  private boolean draining;
   private boolean renewalSuspended;
 
   WorkerRecord(WorkerInfo info, long lastEnd) {
@@ -49,6 +50,15 @@
     return openRuns;
   }
 
+  /**
+   * Tells whether it leaves and gets nothing new.
+   *
+   * @since 0.3
+   */
+  public boolean isDraining() {
+    return draining;
+  }
+
   /**
    * Tells whether no leader renews the lease of what runs there.
    *
@@ -58,6 +68,10 @@
     return renewalSuspended;
   }
 
+  void drain(boolean isDraining) {
+    draining = isDraining;
+  }
+
   void suspendRenewal(boolean isSuspended) {
     renewalSuspended = isSuspended;
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -68,6 +68,8 @@
     for (WorkerRecord worker : state.ledger.workers()) {
       state.examined(1 + worker.openRuns().size());
       WorkerSession session = openSession(worker.info(), present);
+      session.draining = worker.isDraining();
+      session.drainEndMillis = present.millis();
       if (worker.isRenewalSuspended()) {
         session.renewalSuspended = true;
         long since = suspensions.sinceMillis(worker.info().key(), present.millis());
@@ -305,7 +307,8 @@
     if (status.sequence() <= session.sequence) {
       return;
     }
-    boolean wasDraining = session.draining;
+    // A new leader has not moved what runs there yet.
+    boolean wasDraining = session.draining && session.sequence >= 0;
     boolean wasSilent = session.isSilent(present.millis(), state.settings.silenceMillis());
     session.heard(status, present.millis());
     if (session.draining && !wasDraining) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -26,6 +26,7 @@
 import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.ScopeScheduler;
 import org.primrosegauge.core.scope.ScopeSnapshot;
+import org.primrosegauge.core.scope.WorkerStatus;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.log.AppliedState;
 import org.primrosegauge.node.log.LogStorage;
@@ -264,10 +265,7 @@
     } else if (question instanceof ScopeMessage.AskOrderPlace ask) {
       return Mono.just(orderPlaces.present(ask.domain(), log.term()));
     } else if (question instanceof ScopeMessage.Heartbeat heartbeat) {
-      scheduler.run(
-          EventKind.HEARTBEAT,
-          (leader, present) -> leader.workerReported(heartbeat.status(), present));
-      return Mono.just(new ScopeMessage.Done());
+      return heartbeat(heartbeat.status());
     }
     ScopeMessage.WorkerLeft left = (ScopeMessage.WorkerLeft) question;
     scheduler.run(
@@ -275,6 +273,19 @@
     return Mono.just(new ScopeMessage.Done());
   }
 
+  /** A worker is told that its leave is known only when each later leader knows it too. */
+  private Mono<Answer> heartbeat(WorkerStatus status) {
+    scheduler.run(EventKind.HEARTBEAT, (leader, present) -> leader.workerReported(status, present));
+    boolean isNews =
+        ledger
+            .worker(status.info().key())
+            .filter(worker -> worker.isDraining() != status.isDraining())
+            .isPresent();
+    return isNews
+        ? propose(new ScopeCommand.SwitchDrain(status.info().key(), status.isDraining()))
+        : Mono.just(new ScopeMessage.Done());
+  }
+
   private Mono<Answer> submit(ScopeMessage.Submit submit, boolean isStale)
       throws InvalidInputException {
     ScopeCalls.Check check = calls.check(submit.address());
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -824,12 +824,22 @@
       tell(
           EventKind.HEARTBEAT,
           (leader, present) -> {
+            noteLeave(status);
             heard.put(key, status.sequence());
             return leader.workerReported(status, present);
           });
     }
   }
 
+  private void noteLeave(WorkerStatus status) {
+    WorkerKey key = status.info().key();
+    boolean isNews =
+        ledger.worker(key).filter(worker -> worker.isDraining() != status.isDraining()).isPresent();
+    if (isNews) {
+      propose(new ScopeCommand.SwitchDrain(key, status.isDraining()));
+    }
+  }
+
   /** A worker whose heartbeat is not acknowledged sends the next one at once. */
   private void beatAgainIfUnheard(WorkerKey key, WorkerStatus status) {
     if (heard.getOrDefault(key, 0L) < status.sequence()) {
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
@@ -276,4 +276,18 @@
     assertThat(world.checker.violations).isEmpty();
     assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
   }
+
+  /** A new leader learned that a worker leaves only from its next heartbeat. */
+  @Test
+  void workerThatIsLeavingGetsNothingFromTheNextLeader() {
+    EmulatedScope world = new EmulatedScope(36, 2, true);
+    world.run(2_000);
+    world.drain("w1", 20_000);
+    world.run(100);
+    world.changeLeader();
+    world.submit("j1", 1, "first", List.of(step(16, ONE).build()), 5_000);
+    world.run(1_200);
+    assertThat(world.workers.get("w0").runs).hasSize(8);
+    assertThat(world.workers.get("w1").runs).isEmpty();
+  }
 }
