Orders leave only while the lease is valid when they leave

Here: the leader checked its lease once for a batch of orders, at the present that the decision was made with. Suspended after that, it sent the rest of the batch when it woke, under the former term. Workers that a later leader had met refuse such orders; one that it had not met yet would have carried them out.

Change: each order also asks for the lease at the time at which it leaves. SchedulerRunner gets its log as a port (Leadership).

Ruled out: the lease of the log itself, which counts from the sending of heartbeats (LogReplicaRulesTest).

SchedulerRunnerTest.ordersDecidedBeforeSuspensionDoNotLeaveAfterTheLease failed before (4 orders left, expected 1), passes now.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -1,17 +1,16 @@
 package org.primrosegauge.node.scope;
 
 import java.util.List;
+import java.util.function.Supplier;
 import org.primrosegauge.core.scope.LookAnswer;
 import org.primrosegauge.core.scope.Present;
 import org.primrosegauge.core.scope.ScopeAction;
 import org.primrosegauge.core.scope.ScopeCommand;
-import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.ScopeScheduler;
 import org.primrosegauge.core.scope.StartAnswer;
 import org.primrosegauge.core.scope.StopAnswer;
-import org.primrosegauge.node.duty.Duty;
+import org.primrosegauge.node.duty.DutyLoad;
 import org.primrosegauge.node.duty.MonotonicClock;
-import org.primrosegauge.node.log.ReplicatedLog;
 import org.primrosegauge.node.log.SealedCodec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,9 +20,9 @@
  * Hands events to the scheduler with the present, and carries out what it decides. Planning follows
  * once for a batch of events, as often as {@link PlanningPace} allows.
  *
- * <p>Orders leave only if this replica led under a valid lease at the present that the decision was
- * made with: a later leader cannot have taken office before that. Used on the log thread; answers
- * of workers are handed to it.
+ * <p>Orders leave only if this replica leads under a valid lease, both at the present that the
+ * decision was made with and when they leave: the process may have stood still in between. Used on
+ * the log thread; answers of workers are handed to it.
  */
 final class SchedulerRunner {
 
@@ -58,7 +57,7 @@
   }
 
   private final ScopeScheduler scheduler;
-  private final ReplicatedLog<ScopeResult> log;
+  private final Leadership log;
   private final SealedCodec codec;
   private final MonotonicClock clock;
   private final MonotonicClock wallClock;
@@ -69,10 +68,7 @@
   private final PlanningPace pace = new PlanningPace();
 
   SchedulerRunner(
-      ScopeScheduler scheduler,
-      ReplicatedLog<ScopeResult> log,
-      SealedCodec codec,
-      ScopeDuty.Ports ports) {
+      ScopeScheduler scheduler, Leadership log, SealedCodec codec, ScopeDuty.Ports ports) {
     this.scheduler = scheduler;
     this.log = log;
     this.codec = codec;
@@ -93,8 +89,7 @@
 
   /** Lets the scheduler decide once this replica leads and holds all that is committed. */
   void takeOfficeIfDue() {
-    boolean isDue =
-        log.isLeader() && !scheduler.isInOffice() && log.isAuthoritative(clock.nowMillis());
+    boolean isDue = log.isLeader() && !scheduler.isInOffice();
     if (isDue) {
       events.office(true, log.term());
       run(EventKind.OFFICE, (leader, present) -> leader.takeOffice(log.term(), present));
@@ -148,8 +143,8 @@
   }
 
   /** Writes once a second what deciding has cost, while this replica decides. */
-  void reportLoad(long nowMillis) {
-    load.reportIfDue(nowMillis, scheduler.isInOffice(), log.duty()::takeLoad);
+  void reportLoad(long nowMillis, Supplier<DutyLoad.Figures> threadLoad) {
+    load.reportIfDue(nowMillis, scheduler.isInOffice(), threadLoad);
   }
 
   private Present present() {
@@ -157,22 +152,25 @@
   }
 
   private void perform(List<ScopeAction> actions, Present present) {
-    boolean mayOrder = actions.isEmpty() || log.isAuthoritative(present.millis());
     for (ScopeAction action : actions) {
       if (action instanceof ScopeAction.Propose propose) {
         proposeForScheduler(propose.command());
       } else if (action instanceof ScopeAction.Report report) {
         events.decided(report.event());
       } else if (action instanceof ScopeAction.Start order) {
-        start(order, mayOrder);
+        start(order, mayOrder(present));
       } else if (action instanceof ScopeAction.Stop order) {
-        stop(order, mayOrder);
+        stop(order, mayOrder(present));
       } else if (action instanceof ScopeAction.Look order) {
-        look(order, mayOrder);
+        look(order, mayOrder(present));
       }
     }
   }
 
+  private boolean mayOrder(Present decided) {
+    return log.isAuthoritative(decided.millis()) && log.isAuthoritative(clock.nowMillis());
+  }
+
   private void proposeForScheduler(ScopeCommand command) {
     log.propose(codec.write(command))
         .subscribe(
@@ -224,13 +222,7 @@
 
   /** Hands over an answer, which comes from an event loop or while another event is handled. */
   private void later(EventKind kind, Event event) {
-    boolean taken =
-        log.duty()
-            .offer(
-                Duty.Rank.ANSWER,
-                () -> {
-                  run(kind, event);
-                });
+    boolean taken = log.hand(() -> run(kind, event));
     if (!taken) {
       LOG.info("an answer came after the end of the log's thread");
     }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -128,7 +128,7 @@
                 ports.transport(),
                 ports.onStorageFailure()),
             new LedgerState());
-    this.scheduler = new SchedulerRunner(scheduler, log, codec, ports);
+    this.scheduler = new SchedulerRunner(scheduler, new LogLeadership(log), codec, ports);
     ports.transport().onAsk(Question.class, (from, question) -> answer(question));
     ports.transport().onTell(ScopeMessage.Join.class, (from, join) -> joinRequested(join));
   }
@@ -462,7 +462,7 @@
     public void tick(long nowMillis) {
       scheduler.takeOfficeIfDue();
       scheduler.run(EventKind.TICK, ScopeScheduler::tick);
-      scheduler.reportLoad(nowMillis);
+      scheduler.reportLoad(nowMillis, log.duty()::takeLoad);
       meters.tick(ledger, scheduler.isInOffice(), nowMillis, wallClock.nowMillis());
     }
 
--- /dev/null
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
@@ -0,0 +1,153 @@
+package org.primrosegauge.node.scope;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.HostPort;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.ServiceId;
+import org.primrosegauge.core.TargetId;
+import org.primrosegauge.core.Term;
+import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.core.scope.LookAnswer;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.core.scope.ScopeResult;
+import org.primrosegauge.core.scope.ScopeScheduler;
+import org.primrosegauge.core.scope.StartAnswer;
+import org.primrosegauge.core.scope.StopAnswer;
+import org.primrosegauge.core.scope.WorkerInfo;
+import org.primrosegauge.core.scope.WorkerKey;
+import org.primrosegauge.core.scope.cfg.ScopeSettings;
+import org.primrosegauge.node.log.MemoryStorage;
+import org.primrosegauge.node.log.SealedCodec;
+import org.primrosegauge.node.metrics.NodeMetrics;
+import org.primrosegauge.node.transport.PeerSecurity;
+import org.primrosegauge.node.transport.PeerTransport;
+import org.primrosegauge.wire.FrameCodec;
+import org.primrosegauge.wire.MessageTypes;
+import reactor.core.publisher.Mono;
+
+/** A leader whose process stands still while it sends orders. */
+class SchedulerRunnerTest {
+
+  private static final long LEASE_END_MILLIS = 1_000;
+  private static final int WORKERS = 4;
+
+  /** Leads until a time. */
+  private final class LeaseUntil implements Leadership {
+
+    @Override
+    public boolean isLeader() {
+      return true;
+    }
+
+    @Override
+    public boolean isAuthoritative(long nowMillis) {
+      return nowMillis < LEASE_END_MILLIS;
+    }
+
+    @Override
+    public Term term() {
+      return new Term(1);
+    }
+
+    @Override
+    public Mono<ScopeResult> propose(byte[] command) {
+      return Mono.never();
+    }
+
+    @Override
+    public boolean hand(Runnable task) {
+      handed.add(task);
+      return true;
+    }
+  }
+
+  /** The process is suspended after an order has left. */
+  private final class SuspendingOrders implements WorkerOrders {
+
+    @Override
+    public Mono<StartReply> start(ScopeAction.Start order) {
+      return Mono.just(new StartReply(StartAnswer.NO_ANSWER, 0));
+    }
+
+    @Override
+    public Mono<StopAnswer> stop(ScopeAction.Stop order) {
+      return Mono.just(StopAnswer.NO_ANSWER);
+    }
+
+    @Override
+    public Mono<LookAnswer> look(ScopeAction.Look order) {
+      looked.add(order.worker());
+      now += suspendedMillis;
+      return Mono.never();
+    }
+  }
+
+  private final List<Runnable> handed = new ArrayList<>();
+  private final List<WorkerKey> looked = new ArrayList<>();
+  private long suspendedMillis;
+  private long now;
+  private SchedulerRunner runner;
+
+  @BeforeEach
+  void lead() {
+    ScopeLedger ledger = new ScopeLedger(60_000);
+    for (int i = 0; i < WORKERS; i++) {
+      ledger.apply(new ScopeCommand.SeeWorker(worker(i)));
+    }
+    NodeMetrics metrics = new NodeMetrics();
+    FrameCodec frames = new FrameCodec(MessageTypes.builder().build());
+    ScopeDuty.Ports ports =
+        new ScopeDuty.Ports(
+            new MemoryStorage(),
+            new Random(1),
+            () -> now,
+            () -> now,
+            new PeerTransport(new InstanceId("a"), frames, metrics, PeerSecurity.NONE),
+            new SuspendingOrders(),
+            new ScopeEventLog(metrics),
+            new ScopeMeters(metrics),
+            failure -> {});
+    runner =
+        new SchedulerRunner(
+            new ScopeScheduler(ledger, ScopeSettings.DEFAULT),
+            new LeaseUntil(),
+            new SealedCodec(ScopeCommand.class),
+            ports);
+    runner.takeOfficeIfDue();
+  }
+
+  private static WorkerInfo worker(int number) {
+    return new WorkerInfo(
+        new WorkerKey(new TargetId("w" + number), 1),
+        new HostPort("10.0.0.1", 80 + number),
+        new ServiceId("pool"),
+        new FailureDomainId("d"),
+        new Resources(8_000, 8_000, 8),
+        List.of(),
+        "");
+  }
+
+  @Test
+  void ordersLeaveUnderItsLease() {
+    runner.settle(now);
+    assertThat(looked).hasSize(WORKERS);
+  }
+
+  /** Orders that were decided before went out after the lease had run out meanwhile. */
+  @Test
+  void ordersDecidedBeforeSuspensionDoNotLeaveAfterTheLease() {
+    suspendedMillis = 2 * LEASE_END_MILLIS;
+    runner.settle(now);
+    assertThat(looked).hasSize(1);
+    assertThat(handed).hasSize(WORKERS - 1);
+  }
+}
