A silent worker keeps its work for eight seconds where its lease is shorter

Traced: workers are cut off one way for six seconds, as long as the longest lease there; orders reached them, their answers did not come.

Change: looks at a worker that does not answer renew its lease until its silence and the lease together are eight seconds (ScopeSettings.keepMillis), then the log records that it is renewed no more. A lease of ten seconds stays as it was.

workerWhoseAnswersDoNotComeKeepsItsWorkLongerThanItsShortLease failed before (RUNNING), passes now; workOfWorkerWithShortLeaseThatStaysSilentStartsElsewhere keeps the bound.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/cfg/ScopeSettings.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/cfg/ScopeSettings.java
@@ -7,6 +7,8 @@
  * @param startWindowMillis time after its decision in which a start may still be carried out
  * @param lookMillis longest time that a look at a worker waits for an end
  * @param stopTimeoutMillis longest time that a worker needs to stop a task
+ * @param keepMillis silence for which a worker keeps its runs even where its lease is shorter:
+ *     orders may reach it though its answers do not come
  * @param silenceMillis time without a word from a worker after which it gets nothing new
  * @param stallMillis time without progress after which a run is started again elsewhere
  * @param asideMillis time for which a worker that failed repeatedly gets nothing new
@@ -19,6 +21,7 @@
     long startWindowMillis,
     long lookMillis,
     long stopTimeoutMillis,
+    long keepMillis,
     long silenceMillis,
     long stallMillis,
     long asideMillis,
@@ -27,7 +30,7 @@
 
   /** Values for a small site. */
   public static final ScopeSettings DEFAULT =
-      new ScopeSettings(10_000, 2_000, 1_000, 400, 4_500, 4_000, 6_000, 200, 2);
+      new ScopeSettings(10_000, 2_000, 1_000, 400, 8_000, 4_500, 4_000, 6_000, 200, 2);
 
   /**
    * Returns a copy with the times that workers keep to.
@@ -40,6 +43,7 @@
         startWindowMillis,
         lookMillis,
         stopTimeout,
+        keepMillis,
         silenceMillis,
         stallMillis,
         asideMillis,
@@ -58,6 +62,7 @@
         startWindowMillis,
         lookMillis,
         stopTimeoutMillis,
+        keepMillis,
         silence,
         stallMillis,
         asideMillis,
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -366,7 +366,7 @@
     if (present.millis() >= nextWatchMillis) {
       nextWatchMillis = present.millis() + RunWatch.PERIOD_MILLIS;
       orders.recordAgain(present);
-      looks.suspendWhereDue();
+      looks.suspendWhereDue(present.millis());
       looks.forgetWhereDue(present.millis());
       watch.check(present);
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -154,6 +154,11 @@
 
   // Sessions
 
+  /** Tells whether a worker that does not answer has its lease renewed by the looks at it. */
+  boolean keepsSilent(WorkerSession worker, long nowMillis) {
+    return nowMillis - worker.answeredMillis + settings.leaseMillis() <= settings.keepMillis();
+  }
+
   /** Returns the time that a lease may last on the slowest clock allowed, in milliseconds. */
   long longestLeaseMillis() {
     return settings.leaseMillis() * PERCENT / (PERCENT - settings.clockErrorPercent());
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerLooks.java
@@ -103,10 +103,10 @@
   private void look(WorkerSession worker, Present present) {
     long now = present.millis();
     boolean hasRuns = worker.hasOrderedRuns();
-    // A renewal counts from its sending: one for each retry would keep a lost worker's lease alive.
     boolean answers = worker.lookFailures == 0;
     boolean mayRenew = worker.knowsClock() && !worker.left && !worker.renewalSuspended;
-    boolean renews = hasRuns && answers && mayRenew;
+    // A renewal counts from its sending: one for each retry would keep a lost worker's lease alive.
+    boolean renews = hasRuns && mayRenew && (answers || state.keepsSilent(worker, now));
     long deadline = renews ? worker.clockAt(now) + state.settings.leaseMillis() : 0;
     worker.longestDeadline = Math.max(worker.longestDeadline, deadline);
     long lastEnd = recorded(worker);
@@ -285,16 +285,18 @@
    * Has the log record which workers fell silent, so that a later leader counts their leases from
    * now on.
    */
-  void suspendWhereDue() {
+  void suspendWhereDue(long nowMillis) {
     state.examined(state.failing.size());
-    List<WorkerSession> due = state.failing.stream().filter(WorkerLooks::isSuspensionDue).toList();
+    List<WorkerSession> due =
+        state.failing.stream().filter(worker -> isSuspensionDue(worker, nowMillis)).toList();
     if (!due.isEmpty()) {
       switchRenewal(due, true);
     }
   }
 
-  private static boolean isSuspensionDue(WorkerSession worker) {
+  private boolean isSuspensionDue(WorkerSession worker, long nowMillis) {
     return worker.lookFailures >= FAILURES_BEFORE_SUSPENSION
+        && !state.keepsSilent(worker, nowMillis)
         && !worker.renewalSuspended
         && !worker.renewalSwitchProposed
         && worker.hasOrderedRuns();
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -97,6 +97,7 @@
   private final Map<Waiting, ScopeAction.Look> waiting = new LinkedHashMap<>();
   private final Set<String> cut = new HashSet<>();
   private final Set<String> refusing = new HashSet<>();
+  private final Set<String> silenced = new HashSet<>();
   private final Map<JobId, ScopeJob> jobs = new LinkedHashMap<>();
   private final Map<JobId, List<Long>> works = new HashMap<>();
   private final Map<JobId, Long> finished = new LinkedHashMap<>();
@@ -106,6 +107,7 @@
   final WorkMeter meter = new WorkMeter();
   final ScopeLedger ledger = new ScopeLedger(RETENTION_MILLIS);
   private final EventMeter cost;
+  private final ScopeSettings settings;
   private final EmulatedThread thread;
   private final List<ScopeScheduler> replicas = new ArrayList<>();
   private ScopeScheduler scheduler;
@@ -129,6 +131,11 @@
     this(seed, EmulatedFleet.small(workerCount, guards), configuration());
   }
 
+  /** Creates the same with other settings of its scheduler. */
+  EmulatedScope(long seed, int workerCount, ScopeSettings settings) {
+    this(seed, EmulatedFleet.small(workerCount, true), configuration(), EventCost.NONE, settings);
+  }
+
   /**
    * Creates a scope whose workers start at once.
    *
@@ -145,9 +152,19 @@
    */
   public EmulatedScope(
       long seed, EmulatedFleet fleet, ScopeConfiguration configuration, EventMeter cost) {
+    this(seed, fleet, configuration, cost, ScopeSettings.DEFAULT);
+  }
+
+  private EmulatedScope(
+      long seed,
+      EmulatedFleet fleet,
+      ScopeConfiguration configuration,
+      EventMeter cost,
+      ScopeSettings settings) {
     this.random = new Random(seed);
     this.fleet = fleet;
     this.cost = cost;
+    this.settings = settings;
     this.thread =
         new EmulatedThread(
             cost,
@@ -158,7 +175,7 @@
                 this::at));
     this.ledger.apply(new ScopeCommand.Configure(configuration, "text"));
     for (int i = 0; i < REPLICAS; i++) {
-      replicas.add(new ScopeScheduler(ledger, ScopeSettings.DEFAULT));
+      replicas.add(new ScopeScheduler(ledger, settings));
     }
     for (int i = 0; i < fleet.workers(); i++) {
       startWorker("w" + i, i);
@@ -250,6 +267,12 @@
     }
   }
 
+  /** Loses all answers of a worker for a while; orders reach it, heartbeats do not come. */
+  void silence(String name, long forMillis) {
+    silenced.add(name);
+    at(now + forMillis, () -> silenced.remove(name));
+  }
+
   /** Cuts a worker off for a while by a network that refuses connections to it. */
   void refuse(String name, long forMillis) {
     cut(name, forMillis);
@@ -475,6 +498,11 @@
     return cut.contains(name) ? null : workers.get(name);
   }
 
+  private boolean isAnswerHeard(WorkerKey worker) {
+    boolean isLost = random.nextDouble() < lostAnswers;
+    return !isLost && !silenced.contains(worker.target().value());
+  }
+
   private void answer(EventKind kind, int sentIn, boolean isAnswered, Event event) {
     long delay = !isAnswered ? ANSWER_TIMEOUT_MILLIS : 1 + random.nextInt(4);
     at(now + delay, () -> tellIfLeading(kind, sentIn, event));
@@ -511,7 +539,7 @@
     EmulatedWorker worker = reach(order.worker());
     StartAnswer answer = worker == null ? StartAnswer.NO_ANSWER : worker.start(order, now);
     long clock = worker == null ? 0 : worker.clock(now);
-    boolean isAnswered = worker != null && random.nextDouble() >= lostAnswers;
+    boolean isAnswered = worker != null && isAnswerHeard(order.worker());
     answer(
         EventKind.ORDER,
         sentIn,
@@ -527,7 +555,7 @@
   private void answerStop(ScopeAction.Stop order, int sentIn) {
     EmulatedWorker worker = reach(order.worker());
     StopAnswer answer = worker == null ? StopAnswer.NO_ANSWER : worker.stop(order, now);
-    boolean isAnswered = worker != null && random.nextDouble() >= lostAnswers;
+    boolean isAnswered = worker != null && isAnswerHeard(order.worker());
     answer(
         EventKind.ORDER,
         sentIn,
@@ -554,7 +582,7 @@
 
   private void answerLook(ScopeAction.Look order, int sentIn, LookAnswer answer) {
     boolean isAnswered =
-        answer.kind() != LookAnswer.Kind.NO_ANSWER && random.nextDouble() >= lostAnswers;
+        answer.kind() != LookAnswer.Kind.NO_ANSWER && isAnswerHeard(order.worker());
     answer(
         EventKind.LOOK,
         sentIn,
@@ -817,7 +845,8 @@
   private void beat(EmulatedWorker worker) {
     WorkerKey key = worker.info.key();
     boolean isDue = now >= nextBeat.getOrDefault(key, 0L);
-    if (isDue && scheduler != null && !cut.contains(key.target().value())) {
+    boolean isCut = cut.contains(key.target().value()) || silenced.contains(key.target().value());
+    if (isDue && scheduler != null && !isCut) {
       nextBeat.put(key, now + HEARTBEAT_MILLIS);
       WorkerStatus status = worker.status(now);
       at(now + EventKind.HEARTBEAT.patienceMillis(), () -> beatAgainIfUnheard(key, status));
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
@@ -290,4 +290,36 @@
     assertThat(world.workers.get("w0").runs).hasSize(8);
     assertThat(world.workers.get("w1").runs).isEmpty();
   }
+
+  /**
+   * Found on lfda-bulletin-grown scale-1: 117 runs lapsed behind a cut as long as their lease,
+   * which orders still passed.
+   */
+  @Test
+  void workerWhoseAnswersDoNotComeKeepsItsWorkLongerThanItsShortLease() {
+    ScopeSettings shortLease = ScopeSettings.DEFAULT.withWorkerTimes(6_000, 400);
+    EmulatedScope world = new EmulatedScope(37, 4, shortLease);
+    world.run(2_000);
+    world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 12_000);
+    world.run(1_000);
+    world.silence("w2", 6_500);
+    world.run(14_000);
+    assertThat(world.checker.violations).isEmpty();
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
+  }
+
+  /** The lease that its looks renew while it is silent must end. */
+  @Test
+  void workOfWorkerWithShortLeaseThatStaysSilentStartsElsewhere() {
+    ScopeSettings shortLease = ScopeSettings.DEFAULT.withWorkerTimes(6_000, 400);
+    EmulatedScope world = new EmulatedScope(38, 4, shortLease);
+    world.run(2_000);
+    world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 2_000);
+    world.run(1_000);
+    world.cut("w2", 600_000);
+    world.run(13_000);
+    assertThat(world.checker.violations).isEmpty();
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+  }
 }
