Orders leave while further entries of the same commit wait to be applied

Cause: an order leaves only if the replica is authoritative, which it is when it holds everything that is committed. While it applies entries that were committed at once, it is not before the last one. Orders that followed from the others were taken for unanswered: starts went out later, and a rejection after that put the run in doubt, which stops its gang; stops were sent again after 500 ms only; a worker whose look was among them counted as silent and got nothing new until the next look. The busier the log, the more.

Change: orders ask for the lease alone (holdsLease). Answers to callers and taking office ask for both, as before.

Ruled out: lost answers of workers (their connection was never used); a lease that had run out (BatchedCommitTest: the lease holds).

BatchedCommitTest.leaseHoldsAtEachEntryOfBatch is [false, false, false, false, true] with the former question; SchedulerRunnerTest.ordersLeaveWhileFurtherEntriesWaitToBeApplied failed before.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -213,6 +213,16 @@
     return replica.readIndex(nowMillis).map(index -> index.number() <= applied).orElse(false);
   }
 
+  /**
+   * Tells whether this replica leads under a valid lease, so that no other can act. Unlike {@link
+   * #isAuthoritative} it also holds while the state is applying what was committed at once.
+   *
+   * @since 0.3
+   */
+  public boolean holdsLease(long nowMillis) {
+    return replica.readIndex(nowMillis).isPresent();
+  }
+
   /**
    * Tells whether this replica leads.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/Leadership.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/Leadership.java
@@ -13,6 +13,9 @@
   /** Tells whether it leads under a valid lease and holds everything that is committed. */
   boolean isAuthoritative(long nowMillis);
 
+  /** Tells whether it leads under a valid lease, so that no later leader can have acted. */
+  boolean holdsLease(long nowMillis);
+
   /** Returns the present term. */
   Term term();
 
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -168,7 +168,7 @@
   }
 
   private boolean mayOrder(Present decided) {
-    return log.isAuthoritative(decided.millis()) && log.isAuthoritative(clock.nowMillis());
+    return log.holdsLease(decided.millis()) && log.holdsLease(clock.nowMillis());
   }
 
   private void proposeForScheduler(ScopeCommand command) {
--- /dev/null
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/log/BatchedCommitTest.java
@@ -0,0 +1,137 @@
+package org.primrosegauge.node.log;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Test;
+import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.StorageException;
+import org.primrosegauge.core.log.LogAction;
+import org.primrosegauge.core.log.LogEntry;
+import org.primrosegauge.core.log.LogMessage;
+import org.primrosegauge.core.log.RecoveredLog;
+import org.primrosegauge.core.log.cfg.LogSettings;
+import org.primrosegauge.node.duty.MonotonicClock;
+import org.primrosegauge.node.metrics.NodeMetrics;
+import org.primrosegauge.node.transport.PeerSecurity;
+import org.primrosegauge.node.transport.PeerTransport;
+import org.primrosegauge.wire.FrameCodec;
+import org.primrosegauge.wire.MessageTypes;
+
+/** What a leader knows of itself while it applies several entries that were committed at once. */
+class BatchedCommitTest {
+
+  private static final InstanceId SELF = new InstanceId("a");
+  private static final Duration PATIENCE = Duration.ofSeconds(30);
+  private static final int RING_CAPACITY = 1_024;
+  private static final int COMMANDS = 5;
+
+  private final MonotonicClock clock = MonotonicClock.system();
+  private final List<Boolean> leases = new ArrayList<>();
+  private final CountDownLatch allProposed = new CountDownLatch(1);
+  private ReplicatedLog<Integer> log;
+
+  /** Storage whose syncs wait until all commands are proposed, so that the next one is for many. */
+  private final class WaitingStorage implements LogStorage {
+    private final MemoryStorage memory = new MemoryStorage();
+
+    @Override
+    public RecoveredLog recover() {
+      return memory.recover();
+    }
+
+    @Override
+    public void write(LogAction.Persist write) {
+      memory.write(write);
+    }
+
+    @Override
+    public void sync() throws StorageException {
+      try {
+        if (log.leader() != null && !allProposed.await(PATIENCE.toSeconds(), TimeUnit.SECONDS)) {
+          throw new StorageException("nothing was proposed", "", "");
+        }
+      } catch (InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+
+    @Override
+    public void close() {
+      memory.close();
+    }
+  }
+
+  /** Notes whether the lease holds at each entry. */
+  private final class LeaseNoting implements AppliedState<Integer> {
+
+    @Override
+    public Integer apply(LogEntry entry) {
+      leases.add(log.holdsLease(clock.nowMillis()));
+      return leases.size();
+    }
+
+    @Override
+    public Supplier<byte[]> snapshot() {
+      return () -> new byte[0];
+    }
+
+    @Override
+    public void restore(byte[] state) {
+      throw new IllegalStateException("nothing restores here");
+    }
+
+    @Override
+    public void changed(long applied) {}
+  }
+
+  /** Orders that followed from all but the last entry of a batch did not leave. */
+  @Test
+  void leaseHoldsAtEachEntryOfBatch() throws Exception {
+    FrameCodec codec =
+        new FrameCodec(MessageTypes.builder().family("log", LogMessage.class).build());
+    log =
+        new ReplicatedLog<>(
+            LogSettings.of(SELF, List.of(SELF)),
+            RING_CAPACITY,
+            clock.nowMillis(),
+            new ReplicatedLog.Ports(
+                new WaitingStorage(),
+                new Random(1),
+                clock,
+                new PeerTransport(SELF, codec, new NodeMetrics(), PeerSecurity.NONE),
+                failure -> {
+                  throw new IllegalStateException(failure);
+                }),
+            new LeaseNoting());
+    log.start();
+    while (log.leader() == null) {
+      Thread.onSpinWait();
+    }
+    proposeAtOnce().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+    log.close();
+    assertThat(leases).hasSize(COMMANDS);
+    assertThat(leases).doesNotContain(false);
+  }
+
+  private CompletableFuture<Integer> proposeAtOnce() {
+    CompletableFuture<Integer> last = new CompletableFuture<>();
+    log.duty()
+        .offer(
+            () -> {
+              for (int i = 1; i < COMMANDS; i++) {
+                log.propose(new byte[] {1}).subscribe();
+              }
+              log.propose(new byte[] {1}).subscribe(last::complete);
+              allProposed.countDown();
+            });
+    return last;
+  }
+}
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
@@ -50,6 +50,11 @@
 
     @Override
     public boolean isAuthoritative(long nowMillis) {
+      return !isApplying && holdsLease(nowMillis);
+    }
+
+    @Override
+    public boolean holdsLease(long nowMillis) {
       return nowMillis < LEASE_END_MILLIS;
     }
 
@@ -93,6 +98,7 @@
 
   private final List<Runnable> handed = new ArrayList<>();
   private final List<WorkerKey> looked = new ArrayList<>();
+  private boolean isApplying;
   private long suspendedMillis;
   private long now;
   private SchedulerRunner runner;
@@ -142,6 +148,17 @@
     assertThat(looked).hasSize(WORKERS);
   }
 
+  /**
+   * Found on lfda-bulletin-grown scale-1: orders that followed from an entry did not leave when the
+   * log had committed further ones with it, and counted as unanswered.
+   */
+  @Test
+  void ordersLeaveWhileFurtherEntriesWaitToBeApplied() {
+    isApplying = true;
+    runner.settle(now);
+    assertThat(looked).hasSize(WORKERS);
+  }
+
   /** Orders that were decided before went out after the lease had run out meanwhile. */
   @Test
   void ordersDecidedBeforeSuspensionDoNotLeaveAfterTheLease() {
