A leader takes office, and orders leave, once the entries of earlier terms are applied

The new leader takes office at 45.24 s, applies its log until 45.41 s, and stops 38 runs as unknown, of which it has not read yet.

Cause: takeOfficeIfDue asked only whether the replica leads, against its contract, so a tick between election and the first commit let the scheduler decide on a state without what earlier terms had committed. Placements applied after that wait for no run of its own and were passed over: their tasks stay open in the ledger and nobody runs them.

Change: termStart names the first entry of a leader's term; office and orders wait until the state has applied it.

Ruled out: lost entries of the log (all runs are in it, applied until 45.41 s); storage (no error, first_start=false everywhere).

BatchedCommitTest.nothingLeavesBeforeTheEntriesOfEarlierTermsAreApplied: before [true, true, true, true, true] for five entries of the earlier term. SchedulerRunnerTest.officeIsTakenOnceEarlierTermsAreApplied guards the office.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -143,6 +143,16 @@
     return isFresh ? Optional.of(committed()) : Optional.empty();
   }
 
+  /**
+   * Returns the position of the first entry of the present term. Once it is applied, the state
+   * holds all that was committed in earlier terms. Present only while this replica leads.
+   *
+   * @since 0.3
+   */
+  public Optional<LogIndex> termStart() {
+    return Optional.ofNullable(leader).map(each -> new LogIndex(each.firstIndex()));
+  }
+
   // Events
 
   /**
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
@@ -64,6 +64,11 @@
         instance, id -> new FollowerProgress(context.log().lastIndex() + 1));
   }
 
+  /** Returns the position of the first entry of its term; all before it is of earlier terms. */
+  public long firstIndex() {
+    return firstIndex;
+  }
+
   /**
    * Tells whether the leader has committed an entry of its term, so knows all that is committed.
    */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -214,13 +214,23 @@
   }
 
   /**
-   * Tells whether this replica leads under a valid lease, so that no other can act. Unlike {@link
-   * #isAuthoritative} it also holds while the state is applying what was committed at once.
+   * Tells whether this replica leads and its state holds all that was committed in earlier terms.
+   *
+   * @since 0.3
+   */
+  public boolean holdsEarlierTerms() {
+    return replica.termStart().map(start -> start.number() <= applied).orElse(false);
+  }
+
+  /**
+   * Tells whether this replica leads under a valid lease and its state holds all of earlier terms,
+   * so that no other can act and nothing was decided elsewhere that it does not know. Unlike {@link
+   * #isAuthoritative} it also holds while the state is applying entries of the own term.
    *
    * @since 0.3
    */
   public boolean holdsLease(long nowMillis) {
-    return replica.readIndex(nowMillis).isPresent();
+    return replica.readIndex(nowMillis).isPresent() && holdsEarlierTerms();
   }
 
   /**
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/LogLeadership.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/LogLeadership.java
@@ -19,6 +19,11 @@
     return log.isAuthoritative(nowMillis);
   }
 
+  @Override
+  public boolean holdsEarlierTerms() {
+    return log.holdsEarlierTerms();
+  }
+
   @Override
   public boolean holdsLease(long nowMillis) {
     return log.holdsLease(nowMillis);
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -87,9 +87,9 @@
     return scheduler.isInOffice();
   }
 
-  /** Lets the scheduler decide once this replica leads and holds all that is committed. */
+  /** Lets the scheduler decide once this replica leads and holds all of earlier terms. */
   void takeOfficeIfDue() {
-    boolean isDue = log.isLeader() && !scheduler.isInOffice();
+    boolean isDue = log.holdsEarlierTerms() && !scheduler.isInOffice();
     if (isDue) {
       events.office(true, log.term());
       run(EventKind.OFFICE, (leader, present) -> leader.takeOffice(log.term(), present));
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/log/BatchedCommitTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/log/BatchedCommitTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.StorageException;
 import org.primrosegauge.core.log.LogAction;
@@ -19,6 +21,7 @@
 import org.primrosegauge.core.log.RecoveredLog;
 import org.primrosegauge.core.log.cfg.LogSettings;
 import org.primrosegauge.node.duty.MonotonicClock;
+import org.primrosegauge.node.journal.Journal;
 import org.primrosegauge.node.metrics.NodeMetrics;
 import org.primrosegauge.node.transport.PeerSecurity;
 import org.primrosegauge.node.transport.PeerTransport;
@@ -33,6 +36,7 @@
   private static final int RING_CAPACITY = 1_024;
   private static final int COMMANDS = 5;
 
+  @TempDir Path folder;
   private final MonotonicClock clock = MonotonicClock.system();
   private final List<Boolean> leases = new ArrayList<>();
   private final CountDownLatch allProposed = new CountDownLatch(1);
@@ -40,16 +44,16 @@
 
   /** Storage whose syncs wait until all commands are proposed, so that the next one is for many. */
   private final class WaitingStorage implements LogStorage {
-    private final MemoryStorage memory = new MemoryStorage();
+    private final Journal journal = new Journal(folder);
 
     @Override
-    public RecoveredLog recover() {
-      return memory.recover();
+    public RecoveredLog recover() throws StorageException {
+      return journal.recover();
     }
 
     @Override
-    public void write(LogAction.Persist write) {
-      memory.write(write);
+    public void write(LogAction.Persist write) throws StorageException {
+      journal.write(write);
     }
 
     @Override
@@ -61,11 +65,12 @@
       } catch (InterruptedException e) {
         throw new IllegalStateException(e);
       }
+      journal.sync();
     }
 
     @Override
     public void close() {
-      memory.close();
+      journal.close();
     }
   }
 
@@ -92,9 +97,7 @@
     public void changed(long applied) {}
   }
 
-  /** Orders that followed from all but the last entry of a batch did not leave. */
-  @Test
-  void leaseHoldsAtEachEntryOfBatch() throws Exception {
+  private void startAndLead() throws Exception {
     FrameCodec codec =
         new FrameCodec(MessageTypes.builder().family("log", LogMessage.class).build());
     log =
@@ -115,12 +118,35 @@
     while (log.leader() == null) {
       Thread.onSpinWait();
     }
+  }
+
+  /** Orders that followed from all but the last entry of a batch did not leave. */
+  @Test
+  void leaseHoldsAtEachEntryOfBatch() throws Exception {
+    startAndLead();
     proposeAtOnce().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
     log.close();
     assertThat(leases).hasSize(COMMANDS);
     assertThat(leases).doesNotContain(false);
   }
 
+  /**
+   * Found on swancoast-cut trouble-1 after a loss of power everywhere: while the new leader applied
+   * its log, it stopped runs of which it had not read yet.
+   */
+  @Test
+  void nothingLeavesBeforeTheEntriesOfEarlierTermsAreApplied() throws Exception {
+    startAndLead();
+    proposeAtOnce().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+    log.close();
+    leases.clear();
+    startAndLead();
+    proposeAtOnce().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+    log.close();
+    assertThat(leases.subList(0, COMMANDS)).doesNotContain(true);
+    assertThat(leases.subList(COMMANDS, 2 * COMMANDS)).doesNotContain(false);
+  }
+
   private CompletableFuture<Integer> proposeAtOnce() {
     CompletableFuture<Integer> last = new CompletableFuture<>();
     log.duty()
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
@@ -53,9 +53,14 @@
       return !isApplying && holdsLease(nowMillis);
     }
 
+    @Override
+    public boolean holdsEarlierTerms() {
+      return !isReplaying;
+    }
+
     @Override
     public boolean holdsLease(long nowMillis) {
-      return nowMillis < LEASE_END_MILLIS;
+      return !isReplaying && nowMillis < LEASE_END_MILLIS;
     }
 
     @Override
@@ -99,12 +104,13 @@
   private final List<Runnable> handed = new ArrayList<>();
   private final List<WorkerKey> looked = new ArrayList<>();
   private boolean isApplying;
+  private boolean isReplaying;
   private long suspendedMillis;
   private long now;
   private SchedulerRunner runner;
 
   @BeforeEach
-  void lead() {
+  void create() {
     ScopeLedger ledger = new ScopeLedger(60_000);
     for (int i = 0; i < WORKERS; i++) {
       ledger.apply(new ScopeCommand.SeeWorker(worker(i)));
@@ -128,7 +134,6 @@
             new LeaseUntil(),
             new SealedCodec(ScopeCommand.class),
             ports);
-    runner.takeOfficeIfDue();
   }
 
   private static WorkerInfo worker(int number) {
@@ -144,6 +149,7 @@
 
   @Test
   void ordersLeaveUnderItsLease() {
+    runner.takeOfficeIfDue();
     runner.settle(now);
     assertThat(looked).hasSize(WORKERS);
   }
@@ -155,6 +161,7 @@
   @Test
   void ordersLeaveWhileFurtherEntriesWaitToBeApplied() {
     isApplying = true;
+    runner.takeOfficeIfDue();
     runner.settle(now);
     assertThat(looked).hasSize(WORKERS);
   }
@@ -163,8 +170,20 @@
   @Test
   void ordersDecidedBeforeSuspensionDoNotLeaveAfterTheLease() {
     suspendedMillis = 2 * LEASE_END_MILLIS;
+    runner.takeOfficeIfDue();
     runner.settle(now);
     assertThat(looked).hasSize(1);
     assertThat(handed).hasSize(WORKERS - 1);
   }
+
+  /** Found on swancoast-cut trouble-1: placements applied after it took office were not known. */
+  @Test
+  void officeIsTakenOnceEarlierTermsAreApplied() {
+    isReplaying = true;
+    runner.takeOfficeIfDue();
+    assertThat(runner.isInOffice()).isFalse();
+    isReplaying = false;
+    runner.takeOfficeIfDue();
+    assertThat(runner.isInOffice()).isTrue();
+  }
 }
