The leave of a worker that is not yet in the log is recorded too; an earlier lifetime is not taken in again

Found by a test: a worker is announced, leaves a moment later, all instances start again, and the next leader sends it work.

Cause: the leave is recorded before it is acknowledged only for a worker that the ledger knows. Between its first heartbeat and its entry in the log, and for a worker whose first heartbeat says that it leaves, the acknowledgement promised what no log held.

Change: WorkerLeaves records the worker first, then its leave; the emulation and the duty ask the same function. The ledger passes over a lifetime when it knows a later one of the same worker or address, which a late heartbeat of the earlier one could have brought back.

ScopeInstanceTest.workerThatLeavesGetsNothingAfterRestartOfAllInstances failed before (w1 instead of w2 got the work). withdrawnKeyIsRefusedByEachInstanceAfterRestart passed at once: the leader alone judges keys, after all that is committed is applied. ScopeLedgerIndexTest held that an earlier lifetime is taken in beside a later one; its model now says that it changes nothing, and the set of workers is compared as strictly as before.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -115,6 +115,17 @@
     return Optional.ofNullable(workers.get(key));
   }
 
+  /**
+   * Tells whether a later lifetime of the same worker, or of its address, is known.
+   *
+   * @param info what a worker announced
+   * @since 0.3
+   */
+  public boolean isOutdated(WorkerInfo info) {
+    return workers.sharing(info).stream()
+        .anyMatch(known -> known.key().bornMillis() > info.key().bornMillis());
+  }
+
   /**
    * Returns the step of a run; null when its job or occurrence is over.
    *
@@ -405,6 +416,9 @@
   }
 
   private void seeWorker(WorkerInfo info) {
+    if (isOutdated(info)) {
+      return;
+    }
     workers.sharing(info).stream()
         .map(WorkerInfo::key)
         .filter(known -> known.bornMillis() < info.key().bornMillis())
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -148,10 +148,7 @@
     } else if (command instanceof ScopeCommand.Cancel cancel) {
       stopJob(cancel.job(), "cancelled", present);
     } else if (command instanceof ScopeCommand.SeeWorker seen) {
-      dropOldSessions(state.sessionsSharing(seen.worker()), present);
-      if (!state.sessions.containsKey(seen.worker().key())) {
-        openNewSession(seen.worker(), present);
-      }
+      workerSeen(seen.worker(), present);
     } else if (command instanceof ScopeCommand.ForgetWorker gone) {
       WorkerSession session = state.sessions.get(gone.worker());
       dropOldSessions(session == null ? List.of() : List.of(session), present);
@@ -163,6 +160,16 @@
     }
   }
 
+  private void workerSeen(WorkerInfo info, Present present) {
+    if (state.ledger.isOutdated(info)) {
+      return;
+    }
+    dropOldSessions(state.sessionsSharing(info), present);
+    if (!state.sessions.containsKey(info.key())) {
+      openNewSession(info, present);
+    }
+  }
+
   private void openNewSession(WorkerInfo info, Present present) {
     WorkerSession session = openSession(info, present);
     session.lapseNotBeforeMillis = present.millis();
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLedgerIndexTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLedgerIndexTest.java
@@ -138,18 +138,25 @@
   }
 
   private Set<WorkerKey> keptBy(WorkerInfo seen) {
-    Set<WorkerKey> kept =
+    Set<WorkerKey> all =
+        ledger.workers().stream().map(worker -> worker.info().key()).collect(Collectors.toSet());
+    Set<WorkerKey> sharing =
         ledger.workers().stream()
             .map(WorkerRecord::info)
             .filter(
                 known ->
-                    known.key().bornMillis() >= seen.key().bornMillis()
-                        || !known.key().target().equals(seen.key().target())
-                            && !known.address().equals(seen.address()))
+                    known.key().target().equals(seen.key().target())
+                        || known.address().equals(seen.address()))
             .map(WorkerInfo::key)
             .collect(Collectors.toSet());
-    kept.add(seen.key());
-    return kept;
+    long born = seen.key().bornMillis();
+    if (sharing.stream().anyMatch(known -> known.bornMillis() > born)) {
+      return all;
+    }
+    sharing.removeIf(known -> known.bornMillis() >= born);
+    all.removeAll(sharing);
+    all.add(seen.key());
+    return all;
   }
 
   // Commands
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeDuty.java
@@ -26,6 +26,7 @@
 import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.ScopeScheduler;
 import org.primrosegauge.core.scope.ScopeSnapshot;
+import org.primrosegauge.core.scope.WorkerLeaves;
 import org.primrosegauge.core.scope.WorkerStatus;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.log.AppliedState;
@@ -276,14 +277,9 @@
   /** A worker is told that its leave is known only when each later leader knows it too. */
   private Mono<Answer> heartbeat(WorkerStatus status) {
     scheduler.run(EventKind.HEARTBEAT, (leader, present) -> leader.workerReported(status, present));
-    boolean isNews =
-        ledger
-            .worker(status.info().key())
-            .filter(worker -> worker.isDraining() != status.isDraining())
-            .isPresent();
-    return isNews
-        ? propose(new ScopeCommand.SwitchDrain(status.info().key(), status.isDraining()))
-        : Mono.just(new ScopeMessage.Done());
+    List<Mono<Answer>> proposed =
+        WorkerLeaves.toRecord(ledger, status).stream().map(this::propose).toList();
+    return Mono.when(proposed).thenReturn(new ScopeMessage.Done());
   }
 
   private Mono<Answer> submit(ScopeMessage.Submit submit, boolean isStale)
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
@@ -9,9 +9,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -115,27 +117,36 @@
   }
 
   private void configure() throws Exception {
+    askUntil(configuration(3, "k1"), ScopeMessage.Done.class);
+  }
+
+  private static ScopeMessage.Configure configuration(long revision, String key) {
     QueueSpec queue =
         new QueueSpec(
             new QueueName("q"), "host", "/q/", new ServiceId("pool"), 1, 2, 2.0, 100, false);
-    CustomerSpec customer = new CustomerSpec(new CustomerId("c"), List.of("k1"), 8);
-    ScopeConfiguration configuration =
-        new ScopeConfiguration(new Revision(3), List.of(queue), List.of(customer), 1_000);
-    askUntil(new ScopeMessage.Configure(configuration, "the text"), ScopeMessage.Done.class);
+    CustomerSpec customer = new CustomerSpec(new CustomerId("c"), List.of(key), 8);
+    return new ScopeMessage.Configure(
+        new ScopeConfiguration(new Revision(revision), List.of(queue), List.of(customer), 1_000),
+        "the text");
   }
 
   private void announceWorker() throws Exception {
+    announceWorker("w1", false);
+  }
+
+  private void announceWorker(String name, boolean isDraining) throws Exception {
     WorkerInfo info =
         new WorkerInfo(
-            new WorkerKey(new TargetId("w1"), 1),
-            new HostPort("127.0.0.1", 9),
+            new WorkerKey(new TargetId(name), 1),
+            new HostPort("127.0.0.1", name.charAt(1)),
             new ServiceId("pool"),
             new FailureDomainId("d1"),
             new Resources(8_000, 8_000, 8),
             List.of("a", "r1"),
             "r1");
     askUntil(
-        new ScopeMessage.Heartbeat(new WorkerStatus(info, ++worker.sequence, false, 0, 5)),
+        new ScopeMessage.Heartbeat(
+            new WorkerStatus(info, ++worker.sequence, isDraining, isDraining ? 20_000 : 0, 5)),
         ScopeMessage.Done.class);
   }
 
@@ -144,10 +155,24 @@
     return new JobSubmission("payload", List.of(step), Recurrence.NONE);
   }
 
+  /** Ends all instances, then starts them again from what they have stored. */
+  private void restartAll() throws Exception {
+    instances.values().forEach(ScopeInstance::close);
+    instances.clear();
+    for (String host : HOSTS) {
+      startInstance(host, false, Optional.of(folder.resolve(host)));
+    }
+    startInstance(ENTRY, false, Optional.empty());
+  }
+
   private void awaitCompleted() throws Exception {
+    awaitCompleted("w1");
+  }
+
+  private void awaitCompleted(String name) throws Exception {
     ScopeMessage.State state = null;
     for (int i = 0; i < PATIENCE_TRIES; i++) {
-      announceWorker();
+      announceWorker(name, false);
       state = askUntil(new ScopeMessage.AskState(JOB), ScopeMessage.State.class);
       if (state.status() == JobStatus.COMPLETED) {
         return;
@@ -203,6 +228,31 @@
     awaitCompleted();
   }
 
+  @Test
+  void withdrawnKeyIsRefusedByEachInstanceAfterRestart() throws Exception {
+    configure();
+    askUntil(configuration(4, "k2"), ScopeMessage.Done.class);
+    restartAll();
+    askUntil(new ScopeMessage.AskConfiguration(), ScopeMessage.Configuration.class);
+    for (ScopeInstance instance : instances.values()) {
+      assertThat(instance.client().ask(new ScopeMessage.Submit(JOB, job()), WAIT).block())
+          .isEqualTo(new ScopeMessage.Refused(ScopeRefusal.UNKNOWN_KEY));
+    }
+    CallerAddress valid = new CallerAddress("host", "/q/00ab", "k2");
+    askUntil(new ScopeMessage.Submit(valid, job()), ScopeMessage.Done.class);
+  }
+
+  @Test
+  void workerThatLeavesGetsNothingAfterRestartOfAllInstances() throws Exception {
+    configure();
+    announceWorker("w1", false);
+    announceWorker("w1", true);
+    restartAll();
+    askUntil(new ScopeMessage.Submit(JOB, job()), ScopeMessage.Done.class);
+    awaitCompleted("w2");
+    assertThat(worker.startedAt).containsExactly(new TargetId("w2"));
+  }
+
   /** Waits until the store that came back empty has left the voters and is one again. */
   private void awaitReadmission(String host) throws Exception {
     InstanceId id = new InstanceId(host);
@@ -222,6 +272,7 @@
   private static final class InstantWorker implements WorkerOrders {
 
     private final List<String> started = new ArrayList<>();
+    private final Set<TargetId> startedAt = new LinkedHashSet<>();
     private final List<LookAnswer.EndedEntry> ended = new ArrayList<>();
     private long sequence;
     private long number;
@@ -230,6 +281,7 @@
     public synchronized Mono<StartReply> start(ScopeAction.Start order) {
       if (!started.contains(order.run().toString())) {
         started.add(order.run().toString());
+        startedAt.add(order.worker().target());
         ended.add(
             new LookAnswer.EndedEntry(++number, new RunEnd(order.run(), RunOutcome.DONE, "")));
       }
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -45,6 +45,7 @@
 import org.primrosegauge.core.scope.TaskKey;
 import org.primrosegauge.core.scope.WorkerInfo;
 import org.primrosegauge.core.scope.WorkerKey;
+import org.primrosegauge.core.scope.WorkerLeaves;
 import org.primrosegauge.core.scope.WorkerStatus;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
 
@@ -853,22 +854,13 @@
       tell(
           EventKind.HEARTBEAT,
           (leader, present) -> {
-            noteLeave(status);
+            WorkerLeaves.toRecord(ledger, status).forEach(this::propose);
             heard.put(key, status.sequence());
             return leader.workerReported(status, present);
           });
     }
   }
 
-  private void noteLeave(WorkerStatus status) {
-    WorkerKey key = status.info().key();
-    boolean isNews =
-        ledger.worker(key).filter(worker -> worker.isDraining() != status.isDraining()).isPresent();
-    if (isNews) {
-      propose(new ScopeCommand.SwitchDrain(key, status.isDraining()));
-    }
-  }
-
   /** A worker whose heartbeat is not acknowledged sends the next one at once. */
   private void beatAgainIfUnheard(WorkerKey key, WorkerStatus status) {
     if (heard.getOrDefault(key, 0L) < status.sequence()) {
