An entry of the log that cannot be handled does not take those behind it along

Found by reading, for the accident in which one unexpected error takes more with it than itself: a RuntimeException of the state (the ledger, or the scheduler that hears of each entry) left the loop over a batch of committed entries. The thread went on, the entries behind it were never applied on that replica, and its callers waited until their time was over.

Change: the error is logged with the entry's position, the caller is told that the outcome is unknown, the next entry is applied. It is the same on each replica, since they apply the same entries.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -382,14 +382,7 @@
 
   private void apply(LogEntry entry) {
     applied = entry.index().number();
-    R result = null;
-    if (entry.isCommand()) {
-      try {
-        result = state.apply(entry);
-      } catch (WireException e) {
-        LOG.error("entry {} of the log cannot be read and is skipped", entry.index(), e);
-      }
-    }
+    R result = entry.isCommand() ? resultOf(entry) : null;
     Pending<R> waiting = pending.remove(entry.index());
     if (waiting == null) {
       return;
@@ -401,6 +394,18 @@
     }
   }
 
+  /** Hands an entry to the state; one that it cannot handle must not stop those behind it. */
+  private R resultOf(LogEntry entry) {
+    try {
+      return state.apply(entry);
+    } catch (WireException e) {
+      LOG.error("entry {} of the log cannot be read and is skipped", entry.index(), e);
+    } catch (RuntimeException e) {
+      LOG.error("entry {} of the log could not be applied in full", entry.index(), e);
+    }
+    return null;
+  }
+
   private void leaderChanged(LogAction.LeaderChanged change) {
     publishedLeader = change.leader();
     LOG.info("leader of the replicated log is {} in term {}", change.leader(), change.term());
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/log/BatchedCommitTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/log/BatchedCommitTest.java
@@ -40,6 +40,7 @@
   private final MonotonicClock clock = MonotonicClock.system();
   private final List<Boolean> leases = new ArrayList<>();
   private final CountDownLatch allProposed = new CountDownLatch(1);
+  private int failingAt;
   private ReplicatedLog<Integer> log;
 
   /** Storage whose syncs wait until all commands are proposed, so that the next one is for many. */
@@ -80,6 +81,9 @@
     @Override
     public Integer apply(LogEntry entry) {
       leases.add(log.holdsLease(clock.nowMillis()));
+      if (leases.size() == failingAt) {
+        throw new IllegalStateException("an entry that the state cannot handle");
+      }
       return leases.size();
     }
 
@@ -147,6 +151,16 @@
     assertThat(leases.subList(COMMANDS, 2 * COMMANDS)).doesNotContain(false);
   }
 
+  /** The rest of the batch was passed over without a trace but one line in the log. */
+  @Test
+  void entryThatFailsDoesNotTakeThoseBehindItAlong() throws Exception {
+    failingAt = 2;
+    startAndLead();
+    int last = proposeAtOnce().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+    log.close();
+    assertThat(last).isEqualTo(COMMANDS);
+  }
+
   private CompletableFuture<Integer> proposeAtOnce() {
     CompletableFuture<Integer> last = new CompletableFuture<>();
     log.duty()
