--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/log/BatchedCommitTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/log/BatchedCommitTest.java
@@ -6,34 +6,23 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.StorageException;
 import org.primrosegauge.core.log.LogAction;
 import org.primrosegauge.core.log.LogEntry;
-import org.primrosegauge.core.log.LogMessage;
 import org.primrosegauge.core.log.RecoveredLog;
-import org.primrosegauge.core.log.cfg.LogSettings;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.journal.Journal;
-import org.primrosegauge.node.metrics.NodeMetrics;
-import org.primrosegauge.node.transport.PeerSecurity;
-import org.primrosegauge.node.transport.PeerTransport;
-import org.primrosegauge.wire.FrameCodec;
-import org.primrosegauge.wire.MessageTypes;
 
 /** What a leader knows of itself while it applies several entries that were committed at once. */
 class BatchedCommitTest {
 
-  private static final InstanceId SELF = new InstanceId("a");
   private static final Duration PATIENCE = Duration.ofSeconds(30);
-  private static final int RING_CAPACITY = 1_024;
   private static final int COMMANDS = 5;
 
   @TempDir Path folder;
@@ -102,26 +91,8 @@
   }
 
   private void startAndLead() throws Exception {
-    FrameCodec codec =
-        new FrameCodec(MessageTypes.builder().family("log", LogMessage.class).build());
-    log =
-        new ReplicatedLog<>(
-            LogSettings.of(SELF, List.of(SELF)),
-            RING_CAPACITY,
-            clock.nowMillis(),
-            new ReplicatedLog.Ports(
-                new WaitingStorage(),
-                new Random(1),
-                clock,
-                new PeerTransport(SELF, codec, new NodeMetrics(), PeerSecurity.NONE),
-                failure -> {
-                  throw new IllegalStateException(failure);
-                }),
-            new LeaseNoting());
-    log.start();
-    while (log.leader() == null) {
-      Thread.onSpinWait();
-    }
+    log = SoleLog.create(new WaitingStorage(), new LeaseNoting());
+    SoleLog.startAndLead(log);
   }
 
   /** Orders that followed from all but the last entry of a batch did not leave. */
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/log/SnapshotStallTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/log/SnapshotStallTest.java
@@ -3,8 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
-import java.util.List;
-import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -13,26 +11,15 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.StorageException;
 import org.primrosegauge.core.log.LogAction;
 import org.primrosegauge.core.log.LogEntry;
-import org.primrosegauge.core.log.LogMessage;
 import org.primrosegauge.core.log.RecoveredLog;
-import org.primrosegauge.core.log.cfg.LogSettings;
-import org.primrosegauge.node.duty.MonotonicClock;
-import org.primrosegauge.node.metrics.NodeMetrics;
-import org.primrosegauge.node.transport.PeerSecurity;
-import org.primrosegauge.node.transport.PeerTransport;
-import org.primrosegauge.wire.FrameCodec;
-import org.primrosegauge.wire.MessageTypes;
 
 /** A log of one replica whose snapshots take as long as the test likes. */
 class SnapshotStallTest {
 
-  private static final InstanceId SELF = new InstanceId("a");
   private static final Duration PATIENCE = Duration.ofSeconds(30);
-  private static final int RING_CAPACITY = 8_192;
   private static final int MORE_THAN_A_SNAPSHOT = 2_100;
 
   private final CountDownLatch mayWrite = new CountDownLatch(1);
@@ -103,26 +90,8 @@
 
   @BeforeEach
   void start() throws StorageException {
-    FrameCodec codec =
-        new FrameCodec(MessageTypes.builder().family("log", LogMessage.class).build());
-    log =
-        new ReplicatedLog<>(
-            LogSettings.of(SELF, List.of(SELF)),
-            RING_CAPACITY,
-            MonotonicClock.system().nowMillis(),
-            new ReplicatedLog.Ports(
-                new WatchedStorage(),
-                new Random(1),
-                MonotonicClock.system(),
-                new PeerTransport(SELF, codec, new NodeMetrics(), PeerSecurity.NONE),
-                failure -> {
-                  throw new IllegalStateException(failure);
-                }),
-            new CountingState());
-    log.start();
-    while (log.leader() == null) {
-      Thread.onSpinWait();
-    }
+    log = SoleLog.create(new WatchedStorage(), new CountingState());
+    SoleLog.startAndLead(log);
   }
 
   @AfterEach
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ElectionAfterStartTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ElectionAfterStartTest.java
@@ -4,7 +4,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -14,11 +13,6 @@
 import org.primrosegauge.core.scope.ScopeScheduler;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
 import org.primrosegauge.node.log.MemoryStorage;
-import org.primrosegauge.node.metrics.NodeMetrics;
-import org.primrosegauge.node.transport.PeerSecurity;
-import org.primrosegauge.node.transport.PeerTransport;
-import org.primrosegauge.wire.FrameCodec;
-import org.primrosegauge.wire.MessageTypes;
 
 /**
  * When a replica that has just started may elect. Its clock stands still, so only the time that has
@@ -58,26 +52,13 @@
 
   private static ScopeDuty duty(long sinceMillis) throws StorageException {
     ScopeLedger ledger = new ScopeLedger(60_000);
-    NodeMetrics metrics = new NodeMetrics();
-    FrameCodec frames = new FrameCodec(MessageTypes.builder().build());
     ScopeDuty duty =
         new ScopeDuty(
             ScopeInstance.logSettings(SELF, List.of(SELF), 1),
             ledger,
             new ScopeScheduler(ledger, ScopeSettings.DEFAULT),
             sinceMillis,
-            new ScopeDuty.Ports(
-                new MemoryStorage(),
-                new Random(1),
-                () -> 0,
-                () -> 0,
-                new PeerTransport(SELF, frames, metrics, PeerSecurity.NONE),
-                null,
-                new ScopeEventLog(metrics),
-                new ScopeMeters(metrics),
-                failure -> {
-                  throw new IllegalStateException(failure);
-                }));
+            ScopePorts.alone(SELF, new MemoryStorage(), () -> 0, null));
     duty.start();
     return duty;
   }
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
@@ -4,7 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.primrosegauge.core.FailureDomainId;
@@ -27,11 +26,6 @@
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
 import org.primrosegauge.node.log.MemoryStorage;
 import org.primrosegauge.node.log.SealedCodec;
-import org.primrosegauge.node.metrics.NodeMetrics;
-import org.primrosegauge.node.transport.PeerSecurity;
-import org.primrosegauge.node.transport.PeerTransport;
-import org.primrosegauge.wire.FrameCodec;
-import org.primrosegauge.wire.MessageTypes;
 import reactor.core.publisher.Mono;
 
 /** A leader whose process stands still while it sends orders. */
@@ -115,25 +109,13 @@
     for (int i = 0; i < WORKERS; i++) {
       ledger.apply(new ScopeCommand.SeeWorker(worker(i)));
     }
-    NodeMetrics metrics = new NodeMetrics();
-    FrameCodec frames = new FrameCodec(MessageTypes.builder().build());
-    ScopeDuty.Ports ports =
-        new ScopeDuty.Ports(
-            new MemoryStorage(),
-            new Random(1),
-            () -> now,
-            () -> now,
-            new PeerTransport(new InstanceId("a"), frames, metrics, PeerSecurity.NONE),
-            new SuspendingOrders(),
-            new ScopeEventLog(metrics),
-            new ScopeMeters(metrics),
-            failure -> {});
     runner =
         new SchedulerRunner(
             new ScopeScheduler(ledger, ScopeSettings.DEFAULT),
             new LeaseUntil(),
             new SealedCodec(ScopeCommand.class),
-            ports);
+            ScopePorts.alone(
+                new InstanceId("a"), new MemoryStorage(), () -> now, new SuspendingOrders()));
   }
 
   private static WorkerInfo worker(int number) {
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SnapshotStartTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SnapshotStartTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
-import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.Revision;
@@ -23,11 +22,6 @@
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
 import org.primrosegauge.node.log.LogStorage;
 import org.primrosegauge.node.log.SealedCodec;
-import org.primrosegauge.node.metrics.NodeMetrics;
-import org.primrosegauge.node.transport.PeerSecurity;
-import org.primrosegauge.node.transport.PeerTransport;
-import org.primrosegauge.wire.FrameCodec;
-import org.primrosegauge.wire.MessageTypes;
 
 /** A replica whose storage holds a snapshot. */
 class SnapshotStartTest {
@@ -71,25 +65,12 @@
             new ScopeConfiguration(new Revision(3), List.of(), List.of(), 1_000), "text"));
     byte[] state = new SealedCodec(ScopeCommand.class).write(before.snapshot());
     ScopeLedger ledger = new ScopeLedger(60_000);
-    NodeMetrics metrics = new NodeMetrics();
-    FrameCodec frames = new FrameCodec(MessageTypes.builder().build());
     new ScopeDuty(
         ScopeInstance.logSettings(SELF, List.of(), 1),
         ledger,
         new ScopeScheduler(ledger, ScopeSettings.DEFAULT),
         0,
-        new ScopeDuty.Ports(
-            new SnapshotStorage(state),
-            new Random(1),
-            () -> 0,
-            () -> 0,
-            new PeerTransport(SELF, frames, metrics, PeerSecurity.NONE),
-            null,
-            new ScopeEventLog(metrics),
-            new ScopeMeters(metrics),
-            failure -> {
-              throw new IllegalStateException(failure);
-            }));
+        ScopePorts.alone(SELF, new SnapshotStorage(state), () -> 0, null));
     assertThat(ledger.configuration().revision()).isEqualTo(new Revision(3));
     assertThat(ledger.content()).isEqualTo("text");
   }
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/StaleCallTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/StaleCallTest.java
@@ -4,7 +4,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -22,7 +21,6 @@
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.log.LogAction;
-import org.primrosegauge.core.log.LogMessage;
 import org.primrosegauge.core.log.RecoveredLog;
 import org.primrosegauge.core.log.cfg.LogSettings;
 import org.primrosegauge.core.scope.LookAnswer;
@@ -42,13 +40,8 @@
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
 import org.primrosegauge.node.log.LogStorage;
 import org.primrosegauge.node.log.MemoryStorage;
-import org.primrosegauge.node.metrics.NodeMetrics;
 import org.primrosegauge.node.scope.ScopeMessage.Answer;
 import org.primrosegauge.node.scope.ScopeMessage.Question;
-import org.primrosegauge.node.transport.PeerSecurity;
-import org.primrosegauge.node.transport.PeerTransport;
-import org.primrosegauge.wire.FrameCodec;
-import org.primrosegauge.wire.MessageTypes;
 import reactor.core.publisher.Mono;
 
 /** Questions that wait at a leader whose thread stands still. The clock moves by hand as well. */
@@ -162,12 +155,6 @@
 
   @BeforeEach
   void start() throws StorageException {
-    NodeMetrics metrics = new NodeMetrics();
-    MessageTypes types =
-        MessageTypes.builder()
-            .family("log", LogMessage.class)
-            .family("scope", ScopeMessage.class)
-            .build();
     ScopeLedger ledger = new ScopeLedger(60_000);
     duty =
         new ScopeDuty(
@@ -175,18 +162,7 @@
             ledger,
             new ScopeScheduler(ledger, ScopeSettings.DEFAULT),
             now(),
-            new ScopeDuty.Ports(
-                new GatedStorage(),
-                new Random(1),
-                this::now,
-                this::now,
-                new PeerTransport(SELF, new FrameCodec(types), metrics, PeerSecurity.NONE),
-                new GatedWorker(),
-                new ScopeEventLog(metrics),
-                new ScopeMeters(metrics),
-                failure -> {
-                  throw new IllegalStateException(failure);
-                }));
+            ScopePorts.alone(SELF, new GatedStorage(), this::now, new GatedWorker()));
     duty.start();
     configure();
     announceWorker();
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
@@ -22,6 +22,11 @@
     return StepSpec.builder(count).task(task).estimatedMillis(2_000);
   }
 
+  private static void assertCompletedWithoutViolation(EmulatedScope world) {
+    assertThat(world.checker.violations).isEmpty();
+    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+  }
+
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void runsAllTasksOfChain(boolean gang) {
@@ -31,8 +36,7 @@
     StepSpec second = step(3, WHOLE_WORKER).dependsOn(List.of(0)).gang(gang).build();
     world.submit("j1", 1, "first", List.of(first, second), 2_000);
     world.run(6_000);
-    assertThat(world.checker.violations).isEmpty();
-    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertCompletedWithoutViolation(world);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 8);
   }
 
@@ -147,8 +151,7 @@
     world.run(1_000);
     world.loseLeader(2_000);
     world.run(8_000);
-    assertThat(world.checker.violations).isEmpty();
-    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertCompletedWithoutViolation(world);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
   }
 
@@ -175,8 +178,7 @@
     world.run(1_000);
     world.cut("w1", 5_000);
     world.run(10_000);
-    assertThat(world.checker.violations).isEmpty();
-    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertCompletedWithoutViolation(world);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
   }
 
@@ -198,8 +200,7 @@
     world.run(500);
     world.refuse(busy, 3_000);
     world.run(10_000);
-    assertThat(world.checker.violations).isEmpty();
-    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertCompletedWithoutViolation(world);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 1);
   }
 
@@ -237,8 +238,7 @@
       world.changeLeader();
     }
     world.run(4_000);
-    assertThat(world.checker.violations).isEmpty();
-    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertCompletedWithoutViolation(world);
   }
 
   /** A worker whose renewals were suspended has them again before its lease ends. */
@@ -252,8 +252,7 @@
     world.run(3_000);
     world.changeLeader();
     world.run(24_000);
-    assertThat(world.checker.violations).isEmpty();
-    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertCompletedWithoutViolation(world);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
   }
 
@@ -273,8 +272,7 @@
     assertThat(world.ledger.capacity(EmulatedScope.POOL)).isEqualTo(all);
     world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 1_000);
     world.run(4_000);
-    assertThat(world.checker.violations).isEmpty();
-    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertCompletedWithoutViolation(world);
   }
 
   /** A new leader learned that a worker leaves only from its next heartbeat. */
@@ -304,8 +302,7 @@
     world.run(1_000);
     world.silence("w2", 6_500);
     world.run(14_000);
-    assertThat(world.checker.violations).isEmpty();
-    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertCompletedWithoutViolation(world);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
   }
 
@@ -319,7 +316,6 @@
     world.run(1_000);
     world.cut("w2", 600_000);
     world.run(13_000);
-    assertThat(world.checker.violations).isEmpty();
-    assertThat(world.statusOf("j1")).isEqualTo(JobStatus.COMPLETED);
+    assertCompletedWithoutViolation(world);
   }
 }
