--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/JournalStore.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/JournalStore.java
@@ -18,6 +18,8 @@
 import org.primrosegauge.node.journal.JournalFile;
 import org.primrosegauge.node.journal.JournalFolder;
 import org.primrosegauge.node.journal.impl.JournalRecord.Type;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The files of a journal.
@@ -28,6 +30,8 @@
  */
 public final class JournalStore {
 
+  private static final Logger LOG = LoggerFactory.getLogger(JournalStore.class);
+
   private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
 
   /** A file that says nothing and may be left over. */
@@ -109,7 +113,8 @@
         resource.close();
       }
     } catch (Exception e) {
-      // Nothing was promised about what is not synced, so there is nothing to report.
+      // Nothing was promised about what is not synced, so its user needs no error.
+      LOG.warn("a file of the journal did not close", e);
     }
   }
 
