--- /dev/null
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedNetwork.java
@@ -0,0 +1,218 @@
+package org.primrosegauge.standin.scope;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.IntConsumer;
+import org.primrosegauge.core.scope.LookAnswer;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.StartAnswer;
+import org.primrosegauge.core.scope.StopAnswer;
+import org.primrosegauge.core.scope.WorkerKey;
+
+/**
+ * What lies between the leader and the workers of an {@link EmulatedScope}: orders and answers that
+ * take time, get lost or come late, and workers that are cut off.
+ *
+ * <p>Not thread-safe; owned by one {@link EmulatedScope}.
+ */
+final class EmulatedNetwork {
+
+  /** Epoch of answers that nobody waits for any more. */
+  private static final int NOBODY = -1;
+
+  private static final long ANSWER_TIMEOUT_MILLIS = 500;
+
+  /** A look that its worker holds until something ends there. */
+  private record Waiting(EmulatedWorker worker, long until, int knownEnds, int epoch) {}
+
+  private final EmulatedScope world;
+  private final Random random;
+  private final Map<Waiting, ScopeAction.Look> waiting = new LinkedHashMap<>();
+  private final Set<String> cut = new HashSet<>();
+  private final Set<String> refusing = new HashSet<>();
+  private final Set<String> silenced = new HashSet<>();
+
+  /** Share of the answers that get lost. */
+  double lostAnswers;
+
+  /** Share of the orders that come seconds later, when nobody waits for their answer. */
+  double lateOrders;
+
+  EmulatedNetwork(EmulatedScope world, Random random) {
+    this.world = world;
+    this.random = random;
+  }
+
+  // Troubles
+
+  /** Cuts a worker off for a while; it runs on. */
+  void cut(String name, long forMillis) {
+    if (cut.add(name)) {
+      world.at(world.now + forMillis, () -> cut.remove(name));
+    }
+  }
+
+  /** Loses all answers of a worker for a while; orders reach it, heartbeats do not come. */
+  void silence(String name, long forMillis) {
+    silenced.add(name);
+    world.at(world.now + forMillis, () -> silenced.remove(name));
+  }
+
+  /** Cuts a worker off for a while by a network that refuses connections to it. */
+  void refuse(String name, long forMillis) {
+    cut(name, forMillis);
+    refusing.add(name);
+    world.at(world.now + forMillis, () -> refusing.remove(name));
+  }
+
+  /** Tells whether what a worker sends arrives. */
+  boolean isHeard(WorkerKey worker) {
+    String name = worker.target().value();
+    return !cut.contains(name) && !silenced.contains(name);
+  }
+
+  /** Forgets the looks of former leaders that workers still hold. */
+  void leaderChanged(int epoch) {
+    waiting.keySet().removeIf(each -> each.epoch() != epoch);
+  }
+
+  // Orders
+
+  void deliver(ScopeAction.Start order, int sentIn) {
+    send(sentIn, in -> answerStart(order, in), () -> startLost(order, sentIn));
+  }
+
+  void deliver(ScopeAction.Stop order, int sentIn) {
+    send(sentIn, in -> answerStop(order, in), () -> stopLost(order, sentIn));
+  }
+
+  void deliver(ScopeAction.Look order, int sentIn) {
+    send(sentIn, in -> receiveLook(order, in), () -> lookLost(order, sentIn));
+  }
+
+  /** Delivers an order soon; a late one gets no answer and is carried out seconds later. */
+  private void send(int sentIn, IntConsumer delivery, Runnable lost) {
+    if (random.nextDouble() < lateOrders) {
+      world.at(world.now + 2_000 + random.nextInt(10_000), () -> delivery.accept(NOBODY));
+      world.at(world.now + ANSWER_TIMEOUT_MILLIS, lost);
+      return;
+    }
+    world.at(world.now + 1 + random.nextInt(4), () -> delivery.accept(sentIn));
+  }
+
+  private EmulatedWorker reach(WorkerKey key) {
+    String name = key.target().value();
+    return cut.contains(name) ? null : world.workers.get(name);
+  }
+
+  private boolean isAnswerHeard(WorkerKey worker) {
+    boolean isLost = random.nextDouble() < lostAnswers;
+    return !isLost && !silenced.contains(worker.target().value());
+  }
+
+  private void answer(EventKind kind, int sentIn, boolean isAnswered, EmulatedScope.Event event) {
+    long delay = !isAnswered ? ANSWER_TIMEOUT_MILLIS : 1 + random.nextInt(4);
+    world.at(world.now + delay, () -> world.tellIfLeading(kind, sentIn, event));
+  }
+
+  private void startLost(ScopeAction.Start order, int sentIn) {
+    world.tellIfLeading(
+        EventKind.ORDER,
+        sentIn,
+        (leader, present) -> leader.startAnswered(order, StartAnswer.NO_ANSWER, 0, present));
+  }
+
+  private void stopLost(ScopeAction.Stop order, int sentIn) {
+    world.tellIfLeading(
+        EventKind.ORDER,
+        sentIn,
+        (leader, present) -> leader.stopAnswered(order, StopAnswer.NO_ANSWER, present));
+  }
+
+  private void lookLost(ScopeAction.Look order, int sentIn) {
+    LookAnswer none = LookAnswer.without(LookAnswer.Kind.NO_ANSWER);
+    world.tellIfLeading(
+        EventKind.LOOK, sentIn, (leader, present) -> leader.lookAnswered(order, none, present));
+  }
+
+  private void answerStart(ScopeAction.Start order, int sentIn) {
+    EmulatedWorker worker = reach(order.worker());
+    StartAnswer answer = worker == null ? StartAnswer.NO_ANSWER : worker.start(order, world.now);
+    long clock = worker == null ? 0 : worker.clock(world.now);
+    boolean isAnswered = worker != null && isAnswerHeard(order.worker());
+    answer(
+        EventKind.ORDER,
+        sentIn,
+        isAnswered,
+        (leader, present) ->
+            leader.startAnswered(
+                order,
+                isAnswered ? answer : StartAnswer.NO_ANSWER,
+                isAnswered ? clock : 0,
+                present));
+  }
+
+  private void answerStop(ScopeAction.Stop order, int sentIn) {
+    EmulatedWorker worker = reach(order.worker());
+    StopAnswer answer = worker == null ? StopAnswer.NO_ANSWER : worker.stop(order, world.now);
+    boolean isAnswered = worker != null && isAnswerHeard(order.worker());
+    answer(
+        EventKind.ORDER,
+        sentIn,
+        isAnswered,
+        (leader, present) ->
+            leader.stopAnswered(order, isAnswered ? answer : StopAnswer.NO_ANSWER, present));
+  }
+
+  private void receiveLook(ScopeAction.Look order, int sentIn) {
+    EmulatedWorker worker = reach(order.worker());
+    if (worker == null) {
+      boolean isRefused = refusing.contains(order.worker().target().value());
+      LookAnswer.Kind kind = isRefused ? LookAnswer.Kind.REFUSED : LookAnswer.Kind.NO_ANSWER;
+      answerLook(order, sentIn, LookAnswer.without(kind));
+    } else if (!worker.info.key().equals(order.worker())) {
+      answerLook(order, sentIn, LookAnswer.without(LookAnswer.Kind.OTHER_LIFETIME));
+    } else if (!worker.admit(order, world.now)) {
+      answerLook(order, sentIn, LookAnswer.without(LookAnswer.Kind.FENCED));
+    } else {
+      waiting.put(
+          new Waiting(worker, world.now + order.waitMillis(), worker.ended.size(), sentIn), order);
+    }
+  }
+
+  private void answerLook(ScopeAction.Look order, int sentIn, LookAnswer answer) {
+    boolean isAnswered =
+        answer.kind() != LookAnswer.Kind.NO_ANSWER && isAnswerHeard(order.worker());
+    answer(
+        EventKind.LOOK,
+        sentIn,
+        isAnswered,
+        (leader, present) ->
+            leader.lookAnswered(
+                order,
+                isAnswered ? answer : LookAnswer.without(LookAnswer.Kind.NO_ANSWER),
+                present));
+  }
+
+  /** Answers the looks whose time is over, or at whose worker something has ended. */
+  void answerWaiting() {
+    for (Map.Entry<Waiting, ScopeAction.Look> each : List.copyOf(waiting.entrySet())) {
+      EmulatedWorker worker = each.getKey().worker();
+      boolean isDue = world.now >= each.getKey().until() || !worker.ended.isEmpty();
+      boolean isThere = world.workers.get(worker.info.key().target().value()) == worker;
+      if (!isThere || isDue) {
+        waiting.remove(each.getKey());
+        boolean isCut = cut.contains(worker.info.key().target().value());
+        LookAnswer answer =
+            isThere && !isCut
+                ? worker.report(world.now)
+                : LookAnswer.without(LookAnswer.Kind.NO_ANSWER);
+        answerLook(each.getValue(), each.getKey().epoch(), answer);
+      }
+    }
+  }
+}
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -11,7 +11,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.IntConsumer;
 import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.HostPort;
@@ -24,7 +23,6 @@
 import org.primrosegauge.core.scope.CustomerSpec;
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.JobStatus;
-import org.primrosegauge.core.scope.LookAnswer;
 import org.primrosegauge.core.scope.Present;
 import org.primrosegauge.core.scope.QueueName;
 import org.primrosegauge.core.scope.QueueSpec;
@@ -39,9 +37,7 @@
 import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.ScopeScheduler;
 import org.primrosegauge.core.scope.ScopeSnapshot;
-import org.primrosegauge.core.scope.StartAnswer;
 import org.primrosegauge.core.scope.StepSpec;
-import org.primrosegauge.core.scope.StopAnswer;
 import org.primrosegauge.core.scope.TaskKey;
 import org.primrosegauge.core.scope.WorkerInfo;
 import org.primrosegauge.core.scope.WorkerKey;
@@ -65,10 +61,6 @@
   private static final long COMMIT_MILLIS = 10;
   private static final int REPLICAS = 3;
 
-  /** Epoch of answers that nobody waits for any more. */
-  private static final int NOBODY = -1;
-
-  private static final long ANSWER_TIMEOUT_MILLIS = 500;
   private static final long HEARTBEAT_MILLIS = 1_500;
 
   /** Interval of the tick of a thread whose events take time. */
@@ -78,13 +70,11 @@
   private static final int MAX_ATTEMPTS = 3;
   static final ServiceId POOL = new ServiceId("pool");
 
-  private record Waiting(EmulatedWorker worker, long until, int knownEnds, int epoch) {}
-
   private record Proposal(ScopeCommand command, long number) {}
 
   /** Something that the leader learns, as a call of its scheduler. */
   @FunctionalInterface
-  private interface Event {
+  interface Event {
     List<ScopeAction> handTo(ScopeScheduler leader, Present present);
   }
 
@@ -95,14 +85,11 @@
   final Map<String, EmulatedWorker> workers = new LinkedHashMap<>();
   private final Map<WorkerKey, Long> nextBeat = new HashMap<>();
   private final Map<WorkerKey, Long> heard = new HashMap<>();
-  private final Map<Waiting, ScopeAction.Look> waiting = new LinkedHashMap<>();
-  private final Set<String> cut = new HashSet<>();
-  private final Set<String> refusing = new HashSet<>();
-  private final Set<String> silenced = new HashSet<>();
   private final Map<JobId, ScopeJob> jobs = new LinkedHashMap<>();
   private final Map<JobId, List<Long>> works = new HashMap<>();
   private final Map<JobId, Long> finished = new LinkedHashMap<>();
   private final Set<JobId> poison = new HashSet<>();
+  final EmulatedNetwork network;
   final ScopeChecker checker = new ScopeChecker(this);
   final EmulatedGangs gangs = new EmulatedGangs(this);
   final WorkMeter meter = new WorkMeter();
@@ -118,13 +105,11 @@
   private long proposed;
   private int lostBeats;
   private int placements;
-  double lostAnswers;
 
   /** Shortest time between two passes of the planner; 0 plans after each event. */
   long planPauseMillis;
 
   private long nextPlanMillis;
-  double lateOrders;
   boolean isCalm = true;
 
   /** Creates a scope with a small fleet, three queues and two customers. */
@@ -163,6 +148,7 @@
       EventMeter cost,
       ScopeSettings settings) {
     this.random = new Random(seed);
+    this.network = new EmulatedNetwork(this, random);
     this.fleet = fleet;
     this.cost = cost;
     this.settings = settings;
@@ -263,22 +249,7 @@
    * @since 0.3
    */
   public void cut(String name, long forMillis) {
-    if (cut.add(name)) {
-      at(now + forMillis, () -> cut.remove(name));
-    }
-  }
-
-  /** Loses all answers of a worker for a while; orders reach it, heartbeats do not come. */
-  void silence(String name, long forMillis) {
-    silenced.add(name);
-    at(now + forMillis, () -> silenced.remove(name));
-  }
-
-  /** Cuts a worker off for a while by a network that refuses connections to it. */
-  void refuse(String name, long forMillis) {
-    cut(name, forMillis);
-    refusing.add(name);
-    at(now + forMillis, () -> refusing.remove(name));
+    network.cut(name, forMillis);
   }
 
   /**
@@ -334,7 +305,7 @@
     epoch++;
     term++;
     scheduler = replicas.get((int) term % REPLICAS);
-    waiting.keySet().removeIf(each -> each.epoch() != epoch);
+    network.leaderChanged(epoch);
     thread.restart(now);
     Term begun = new Term(term);
     tell(EventKind.OFFICE, (leader, present) -> leader.takeOffice(begun, present));
@@ -380,6 +351,13 @@
     thread.offer(kind, now, () -> decide(event));
   }
 
+  /** Hands an answer to the leader that has asked, if it still leads. */
+  void tellIfLeading(EventKind kind, int sentIn, Event event) {
+    if (sentIn == epoch && scheduler != null) {
+      tell(kind, event);
+    }
+  }
+
   /** Lets the leader decide on an event; its actions follow once the event has been handled. */
   private Runnable decide(Event event) {
     if (scheduler == null) {
@@ -417,14 +395,11 @@
       if (action instanceof ScopeAction.Propose propose) {
         propose(propose.command());
       } else if (action instanceof ScopeAction.Start start) {
-        int sentIn = epoch;
-        send(in -> answerStart(start, in), () -> startLost(start, sentIn));
+        network.deliver(start, epoch);
       } else if (action instanceof ScopeAction.Stop stop) {
-        int sentIn = epoch;
-        send(in -> answerStop(stop, in), () -> stopLost(stop, sentIn));
+        network.deliver(stop, epoch);
       } else if (action instanceof ScopeAction.Look look) {
-        int sentIn = epoch;
-        send(in -> receiveLook(look, in), () -> lookLost(look, sentIn));
+        network.deliver(look, epoch);
       }
     }
   }
@@ -481,135 +456,6 @@
     }
   }
 
-  // Network
-
-  /** Delivers an order soon; a late one gets no answer and is carried out seconds later. */
-  private void send(IntConsumer delivery, Runnable lost) {
-    int sentIn = epoch;
-    if (random.nextDouble() < lateOrders) {
-      at(now + 2_000 + random.nextInt(10_000), () -> delivery.accept(NOBODY));
-      at(now + ANSWER_TIMEOUT_MILLIS, lost);
-      return;
-    }
-    at(now + 1 + random.nextInt(4), () -> delivery.accept(sentIn));
-  }
-
-  private EmulatedWorker reach(WorkerKey key) {
-    String name = key.target().value();
-    return cut.contains(name) ? null : workers.get(name);
-  }
-
-  private boolean isAnswerHeard(WorkerKey worker) {
-    boolean isLost = random.nextDouble() < lostAnswers;
-    return !isLost && !silenced.contains(worker.target().value());
-  }
-
-  private void answer(EventKind kind, int sentIn, boolean isAnswered, Event event) {
-    long delay = !isAnswered ? ANSWER_TIMEOUT_MILLIS : 1 + random.nextInt(4);
-    at(now + delay, () -> tellIfLeading(kind, sentIn, event));
-  }
-
-  /** Hands an answer to the leader that has asked, if it still leads. */
-  private void tellIfLeading(EventKind kind, int sentIn, Event event) {
-    if (sentIn == epoch && scheduler != null) {
-      tell(kind, event);
-    }
-  }
-
-  private void startLost(ScopeAction.Start order, int sentIn) {
-    tellIfLeading(
-        EventKind.ORDER,
-        sentIn,
-        (leader, present) -> leader.startAnswered(order, StartAnswer.NO_ANSWER, 0, present));
-  }
-
-  private void stopLost(ScopeAction.Stop order, int sentIn) {
-    tellIfLeading(
-        EventKind.ORDER,
-        sentIn,
-        (leader, present) -> leader.stopAnswered(order, StopAnswer.NO_ANSWER, present));
-  }
-
-  private void lookLost(ScopeAction.Look order, int sentIn) {
-    LookAnswer none = LookAnswer.without(LookAnswer.Kind.NO_ANSWER);
-    tellIfLeading(
-        EventKind.LOOK, sentIn, (leader, present) -> leader.lookAnswered(order, none, present));
-  }
-
-  private void answerStart(ScopeAction.Start order, int sentIn) {
-    EmulatedWorker worker = reach(order.worker());
-    StartAnswer answer = worker == null ? StartAnswer.NO_ANSWER : worker.start(order, now);
-    long clock = worker == null ? 0 : worker.clock(now);
-    boolean isAnswered = worker != null && isAnswerHeard(order.worker());
-    answer(
-        EventKind.ORDER,
-        sentIn,
-        isAnswered,
-        (leader, present) ->
-            leader.startAnswered(
-                order,
-                isAnswered ? answer : StartAnswer.NO_ANSWER,
-                isAnswered ? clock : 0,
-                present));
-  }
-
-  private void answerStop(ScopeAction.Stop order, int sentIn) {
-    EmulatedWorker worker = reach(order.worker());
-    StopAnswer answer = worker == null ? StopAnswer.NO_ANSWER : worker.stop(order, now);
-    boolean isAnswered = worker != null && isAnswerHeard(order.worker());
-    answer(
-        EventKind.ORDER,
-        sentIn,
-        isAnswered,
-        (leader, present) ->
-            leader.stopAnswered(order, isAnswered ? answer : StopAnswer.NO_ANSWER, present));
-  }
-
-  private void receiveLook(ScopeAction.Look order, int sentIn) {
-    EmulatedWorker worker = reach(order.worker());
-    if (worker == null) {
-      boolean isRefused = refusing.contains(order.worker().target().value());
-      LookAnswer.Kind kind = isRefused ? LookAnswer.Kind.REFUSED : LookAnswer.Kind.NO_ANSWER;
-      answerLook(order, sentIn, LookAnswer.without(kind));
-    } else if (!worker.info.key().equals(order.worker())) {
-      answerLook(order, sentIn, LookAnswer.without(LookAnswer.Kind.OTHER_LIFETIME));
-    } else if (!worker.admit(order, now)) {
-      answerLook(order, sentIn, LookAnswer.without(LookAnswer.Kind.FENCED));
-    } else {
-      waiting.put(
-          new Waiting(worker, now + order.waitMillis(), worker.ended.size(), sentIn), order);
-    }
-  }
-
-  private void answerLook(ScopeAction.Look order, int sentIn, LookAnswer answer) {
-    boolean isAnswered =
-        answer.kind() != LookAnswer.Kind.NO_ANSWER && isAnswerHeard(order.worker());
-    answer(
-        EventKind.LOOK,
-        sentIn,
-        isAnswered,
-        (leader, present) ->
-            leader.lookAnswered(
-                order,
-                isAnswered ? answer : LookAnswer.without(LookAnswer.Kind.NO_ANSWER),
-                present));
-  }
-
-  private void answerWaiting() {
-    for (Map.Entry<Waiting, ScopeAction.Look> each : List.copyOf(waiting.entrySet())) {
-      EmulatedWorker worker = each.getKey().worker();
-      boolean isDue = now >= each.getKey().until() || !worker.ended.isEmpty();
-      boolean isThere = workers.get(worker.info.key().target().value()) == worker;
-      if (!isThere || isDue) {
-        waiting.remove(each.getKey());
-        boolean isCut = cut.contains(worker.info.key().target().value());
-        LookAnswer answer =
-            isThere && !isCut ? worker.report(now) : LookAnswer.without(LookAnswer.Kind.NO_ANSWER);
-        answerLook(each.getValue(), each.getKey().epoch(), answer);
-      }
-    }
-  }
-
   // Callers
 
   void submit(String id, int priority, String customer, List<StepSpec> steps, long workMillis) {
@@ -830,7 +676,7 @@
         beat(worker);
         worker.advance(now, STEP_MILLIS);
       }
-      answerWaiting();
+      network.answerWaiting();
       tick();
       thread.runUntil(now);
     }
@@ -846,8 +692,7 @@
   private void beat(EmulatedWorker worker) {
     WorkerKey key = worker.info.key();
     boolean isDue = now >= nextBeat.getOrDefault(key, 0L);
-    boolean isCut = cut.contains(key.target().value()) || silenced.contains(key.target().value());
-    if (isDue && scheduler != null && !isCut) {
+    if (isDue && scheduler != null && network.isHeard(key)) {
       nextBeat.put(key, now + HEARTBEAT_MILLIS);
       WorkerStatus status = worker.status(now);
       at(now + EventKind.HEARTBEAT.patienceMillis(), () -> beatAgainIfUnheard(key, status));
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/ScopeChecker.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/ScopeChecker.java
@@ -89,7 +89,7 @@
       violation("worker " + worker.info.key() + " is over its capacity");
     }
     Long cancelled = cancelledAt.get(task.job());
-    if (cancelled != null && world.now > cancelled + 3_000 && world.lateOrders == 0) {
+    if (cancelled != null && world.now > cancelled + 3_000 && world.network.lateOrders == 0) {
       violation(run.id + " begins long after its cancel");
     }
     for (int dependency : run.spec.dependsOn()) {
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeSchedulerTest.java
@@ -198,7 +198,7 @@
             .orElseThrow();
     world.drain(busy, 20_000);
     world.run(500);
-    world.refuse(busy, 3_000);
+    world.network.refuse(busy, 3_000);
     world.run(10_000);
     assertCompletedWithoutViolation(world);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 1);
@@ -300,7 +300,7 @@
     world.run(2_000);
     world.submit("j1", 1, "first", List.of(step(4, WHOLE_WORKER).build()), 12_000);
     world.run(1_000);
-    world.silence("w2", 6_500);
+    world.network.silence("w2", 6_500);
     world.run(14_000);
     assertCompletedWithoutViolation(world);
     assertThat(world.checker.counts).containsExactly(RunOutcome.DONE, 4);
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeStateMachineTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeStateMachineTest.java
@@ -33,14 +33,14 @@
     world.isCalm = false;
     world.run(1_500);
     List<String> ids = new ArrayList<>();
-    world.lostAnswers = random.nextInt(3) * 0.03;
-    world.lateOrders = random.nextInt(3) * 0.02;
+    world.network.lostAnswers = random.nextInt(3) * 0.03;
+    world.network.lateOrders = random.nextInt(3) * 0.02;
     for (int i = 0; i < 60; i++) {
       act(world, random, ids);
       world.run(50 + random.nextInt(600));
     }
-    world.lostAnswers = 0;
-    world.lateOrders = 0;
+    world.network.lostAnswers = 0;
+    world.network.lateOrders = 0;
     for (int domain = 0; domain < 3; domain++) {
       world.switchDomain("d" + domain, false);
     }
