What reaches the log is whole: missing parts and amounts that cannot be summed end where they are read

By reading, the same way: a step of 2,147,483,647 tasks was accepted from any caller with a key, and its records use up the memory of each instance that applies the entry; amounts near 2^63 overflow in sums.

Change: the messages and what they carry check in their constructors that nothing is missing and that amounts can be summed (Resources.MOST, StepSpec.MOST_TASKS, MOST_ESTIMATED_MILLIS), so that decoding refuses them; the reader of jobs says which field is too large. 400 for callers, a closed connection for instances.

Ruled out: entries of the log that are skipped (they were applied, that was the fault).

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/job/Resources.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/job/Resources.java
@@ -13,6 +13,9 @@
   /** No resources. */
   public static final Resources NONE = new Resources(0, 0, 0);
 
+  /** Most of each amount that one task or worker may have, so that sums over many stay exact. */
+  public static final Resources MOST = new Resources(1_000_000_000L, 1_000_000_000L, 10_000);
+
   /** Checks the ranges. */
   public Resources {
     if (milliCores < 0 || memoryMib < 0 || accelerators < 0) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepSpec.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepSpec.java
@@ -1,6 +1,7 @@
 package org.primrosegauge.core.scope;
 
 import java.util.List;
+import java.util.Objects;
 import org.primrosegauge.core.job.Resources;
 
 /**
@@ -36,11 +37,26 @@
     boolean longRunning,
     int maxUnavailable) {
 
+  /** Most tasks of a step. */
+  public static final int MOST_TASKS = 100_000;
+
+  /** Longest estimate of a task, in milliseconds: ten years. */
+  public static final long MOST_ESTIMATED_MILLIS = 10L * 365 * 24 * 60 * 60 * 1_000;
+
   /** Checks the ranges and copies the list. */
   public StepSpec {
-    if (count < 1 || maxPerWorker < 0) {
+    Objects.requireNonNull(task, "task");
+    Objects.requireNonNull(requiredLabel, "requiredLabel");
+    Objects.requireNonNull(dataRack, "dataRack");
+    if (count < 1 || count > MOST_TASKS || maxPerWorker < 0) {
       throw new IllegalArgumentException("count " + count + ", per worker " + maxPerWorker);
     }
+    if (estimatedMillis < 0 || estimatedMillis > MOST_ESTIMATED_MILLIS) {
+      throw new IllegalArgumentException("estimated milliseconds " + estimatedMillis);
+    }
+    if (!task.fitsIn(Resources.MOST)) {
+      throw new IllegalArgumentException("a task asks for " + task);
+    }
     dependsOn = List.copyOf(dependsOn);
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerInfo.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerInfo.java
@@ -1,6 +1,7 @@
 package org.primrosegauge.core.scope;
 
 import java.util.List;
+import java.util.Objects;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.HostPort;
 import org.primrosegauge.core.ServiceId;
@@ -27,8 +28,16 @@
     List<String> labels,
     String rack) {
 
-  /** Copies the list. */
+  /** Checks what it is made of and copies the list. */
   public WorkerInfo {
+    Objects.requireNonNull(key, "key");
+    Objects.requireNonNull(address, "address");
+    Objects.requireNonNull(pool, "pool");
+    Objects.requireNonNull(domain, "domain");
+    Objects.requireNonNull(rack, "rack");
+    if (!capacity.fitsIn(Resources.MOST)) {
+      throw new IllegalArgumentException("a worker has " + capacity);
+    }
     labels = List.copyOf(labels);
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerKey.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerKey.java
@@ -1,5 +1,6 @@
 package org.primrosegauge.core.scope;
 
+import java.util.Objects;
 import org.primrosegauge.core.TargetId;
 
 /**
@@ -12,6 +13,11 @@
  */
 public record WorkerKey(TargetId target, long bornMillis) {
 
+  /** Checks that it names a worker. */
+  public WorkerKey {
+    Objects.requireNonNull(target, "target");
+  }
+
   @Override
   public boolean equals(Object other) {
     return other instanceof WorkerKey that
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerStatus.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerStatus.java
@@ -1,5 +1,7 @@
 package org.primrosegauge.core.scope;
 
+import java.util.Objects;
+
 /**
  * A heartbeat of a worker.
  *
@@ -15,4 +17,10 @@
     long sequence,
     boolean isDraining,
     long drainRemainingMillis,
-    long clockMillis) {}
+    long clockMillis) {
+
+  /** Checks that it is of a worker. */
+  public WorkerStatus {
+    Objects.requireNonNull(info, "info");
+  }
+}
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/CallerAddress.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/CallerAddress.java
@@ -1,5 +1,7 @@
 package org.primrosegauge.node.scope;
 
+import java.util.Objects;
+
 /**
  * What a caller named and showed.
  *
@@ -8,4 +10,11 @@
  * @param key key that the caller showed; null when none
  * @since 0.2
  */
-public record CallerAddress(String host, String path, String key) {}
+public record CallerAddress(String host, String path, String key) {
+
+  /** Checks that it names a path of a host. */
+  public CallerAddress {
+    Objects.requireNonNull(host, "host");
+    Objects.requireNonNull(path, "path");
+  }
+}
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/JobSubmission.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/JobSubmission.java
@@ -1,6 +1,7 @@
 package org.primrosegauge.node.scope;
 
 import java.util.List;
+import java.util.Objects;
 import org.primrosegauge.core.scope.Recurrence;
 import org.primrosegauge.core.scope.StepSpec;
 
@@ -14,8 +15,25 @@
  */
 public record JobSubmission(String payload, List<StepSpec> steps, Recurrence recurrence) {
 
-  /** Copies the list. */
+  /** Checks that the job can be done in the order of its steps, and copies the list. */
   public JobSubmission {
+    Objects.requireNonNull(recurrence, "recurrence");
     steps = List.copyOf(steps);
+    if (steps.isEmpty() || tasksOf(steps) > StepSpec.MOST_TASKS) {
+      throw new IllegalArgumentException(tasksOf(steps) + " tasks in " + steps.size() + " steps");
+    }
+    for (int i = 0; i < steps.size(); i++) {
+      requireEarlier(steps.get(i).dependsOn(), i);
+    }
+  }
+
+  private static long tasksOf(List<StepSpec> steps) {
+    return steps.stream().mapToLong(StepSpec::count).sum();
+  }
+
+  private static void requireEarlier(List<Integer> dependsOn, int step) {
+    if (dependsOn.stream().anyMatch(each -> each < 0 || each >= step)) {
+      throw new IllegalArgumentException("step " + step + " depends on " + dependsOn);
+    }
   }
 }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
@@ -1,6 +1,7 @@
 package org.primrosegauge.node.scope;
 
 import java.util.List;
+import java.util.Objects;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.TargetId;
@@ -49,21 +50,40 @@
    * @param address queue and id of the job, as the caller named them
    * @param job job
    */
-  record Submit(CallerAddress address, JobSubmission job) implements Question {}
+  record Submit(CallerAddress address, JobSubmission job) implements Question {
+
+    /** Checks that nothing is missing. */
+    public Submit {
+      Objects.requireNonNull(address, "address");
+      Objects.requireNonNull(job, "job");
+    }
+  }
 
   /**
    * Asks for the state of a job, or how many jobs of a queue wait.
    *
    * @param address queue and id of the job, or queue alone
    */
-  record AskState(CallerAddress address) implements Read {}
+  record AskState(CallerAddress address) implements Read {
+
+    /** Checks that nothing is missing. */
+    public AskState {
+      Objects.requireNonNull(address, "address");
+    }
+  }
 
   /**
    * Cancels a job.
    *
    * @param address queue and id of the job
    */
-  record Cancel(CallerAddress address) implements Question {}
+  record Cancel(CallerAddress address) implements Question {
+
+    /** Checks that nothing is missing. */
+    public Cancel {
+      Objects.requireNonNull(address, "address");
+    }
+  }
 
   /**
    * Puts a configuration in force.
@@ -86,6 +106,11 @@
    */
   record SwitchDomain(FailureDomainId domain, boolean isOut, OrderPlace place) implements Question {
 
+    /** Checks that nothing is missing. */
+    public SwitchDomain {
+      Objects.requireNonNull(domain, "domain");
+    }
+
     /** Creates an order that is carried out whatever came after it. */
     public SwitchDomain(FailureDomainId domain, boolean isOut) {
       this(domain, isOut, null);
@@ -97,21 +122,39 @@
    *
    * @param domain failure domain
    */
-  record AskOrderPlace(FailureDomainId domain) implements Read {}
+  record AskOrderPlace(FailureDomainId domain) implements Read {
+
+    /** Checks that nothing is missing. */
+    public AskOrderPlace {
+      Objects.requireNonNull(domain, "domain");
+    }
+  }
 
   /**
    * Passes a heartbeat on.
    *
    * @param status heartbeat
    */
-  record Heartbeat(WorkerStatus status) implements Question {}
+  record Heartbeat(WorkerStatus status) implements Question {
+
+    /** Checks that nothing is missing. */
+    public Heartbeat {
+      Objects.requireNonNull(status, "status");
+    }
+  }
 
   /**
    * Passes on that a worker ends.
    *
    * @param target worker
    */
-  record WorkerLeft(TargetId target) implements Question {}
+  record WorkerLeft(TargetId target) implements Question {
+
+    /** Checks that nothing is missing. */
+    public WorkerLeft {
+      Objects.requireNonNull(target, "target");
+    }
+  }
 
   // One-way
 
