--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepSpec.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepSpec.java
@@ -37,7 +37,7 @@
     boolean longRunning,
     int maxUnavailable) {
 
-  /** Most tasks of a step. */
+  /** Most tasks of a step, and of all steps of a job together. */
   public static final int MOST_TASKS = 100_000;
 
   /** Longest estimate of a task, in milliseconds: ten years. */
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
@@ -19,6 +19,7 @@
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.PrimrosegaugeException;
 import org.primrosegauge.core.scope.Recurrence;
+import org.primrosegauge.core.scope.StepSpec;
 import org.primrosegauge.node.scope.ScopeMessage.Answer;
 import org.primrosegauge.node.scope.ScopeMessage.Question;
 import reactor.core.publisher.Mono;
@@ -34,7 +35,9 @@
   private static final CallerAddress ADDRESS = new CallerAddress("host", "/q/1", null);
   private static final Question READ = new ScopeMessage.AskState(ADDRESS);
   private static final Question WRITE =
-      new ScopeMessage.Submit(ADDRESS, new JobSubmission("payload", List.of(), Recurrence.NONE));
+      new ScopeMessage.Submit(
+          ADDRESS,
+          new JobSubmission("payload", List.of(StepSpec.builder(1).build()), Recurrence.NONE));
   private static final Duration PATIENCE = Duration.ofMillis(2_850);
 
   /** Half of the time that callers give: what is not served by then is refused. */
