--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/MalformedFramesTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/MalformedFramesTest.java
@@ -29,15 +29,11 @@
 import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.log.LogMessage;
 import org.primrosegauge.core.scope.CustomerSpec;
-import org.primrosegauge.core.scope.LookAnswer;
 import org.primrosegauge.core.scope.QueueName;
 import org.primrosegauge.core.scope.QueueSpec;
 import org.primrosegauge.core.scope.Recurrence;
-import org.primrosegauge.core.scope.ScopeAction;
 import org.primrosegauge.core.scope.ScopeConfiguration;
-import org.primrosegauge.core.scope.StartAnswer;
 import org.primrosegauge.core.scope.StepSpec;
-import org.primrosegauge.core.scope.StopAnswer;
 import org.primrosegauge.core.scope.WorkerInfo;
 import org.primrosegauge.core.scope.WorkerKey;
 import org.primrosegauge.core.scope.WorkerStatus;
@@ -47,7 +43,6 @@
 import org.primrosegauge.wire.Frame;
 import org.primrosegauge.wire.FrameCodec;
 import org.primrosegauge.wire.MessageTypes;
-import reactor.core.publisher.Mono;
 
 /** An instance that leads, and frames that are cut short or have odd bytes. */
 class MalformedFramesTest {
@@ -66,25 +61,6 @@
               .family("scope", ScopeMessage.class)
               .build());
 
-  /** Workers that answer nothing. */
-  private static final class SilentWorkers implements WorkerOrders {
-
-    @Override
-    public Mono<StartReply> start(ScopeAction.Start order) {
-      return Mono.just(new StartReply(StartAnswer.NO_ANSWER, 0));
-    }
-
-    @Override
-    public Mono<StopAnswer> stop(ScopeAction.Stop order) {
-      return Mono.just(StopAnswer.NO_ANSWER);
-    }
-
-    @Override
-    public Mono<LookAnswer> look(ScopeAction.Look order) {
-      return Mono.just(LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
-    }
-  }
-
   @TempDir Path folder;
   private final Random random = new Random(SEED);
   private ScopeInstance instance;
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
@@ -19,8 +19,6 @@
 import org.primrosegauge.core.scope.ScopeLedger;
 import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.ScopeScheduler;
-import org.primrosegauge.core.scope.StartAnswer;
-import org.primrosegauge.core.scope.StopAnswer;
 import org.primrosegauge.core.scope.WorkerInfo;
 import org.primrosegauge.core.scope.WorkerKey;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
@@ -75,17 +73,7 @@
   }
 
   /** The process is suspended after an order has left. */
-  private final class SuspendingOrders implements WorkerOrders {
-
-    @Override
-    public Mono<StartReply> start(ScopeAction.Start order) {
-      return Mono.just(new StartReply(StartAnswer.NO_ANSWER, 0));
-    }
-
-    @Override
-    public Mono<StopAnswer> stop(ScopeAction.Stop order) {
-      return Mono.just(StopAnswer.NO_ANSWER);
-    }
+  private final class SuspendingOrders extends SilentWorkers {
 
     @Override
     public Mono<LookAnswer> look(ScopeAction.Look order) {
--- /dev/null
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SilentWorkers.java
@@ -0,0 +1,26 @@
+package org.primrosegauge.node.scope;
+
+import org.primrosegauge.core.scope.LookAnswer;
+import org.primrosegauge.core.scope.ScopeAction;
+import org.primrosegauge.core.scope.StartAnswer;
+import org.primrosegauge.core.scope.StopAnswer;
+import reactor.core.publisher.Mono;
+
+/** Workers that answer nothing, for tests. */
+class SilentWorkers implements WorkerOrders {
+
+  @Override
+  public Mono<StartReply> start(ScopeAction.Start order) {
+    return Mono.just(new StartReply(StartAnswer.NO_ANSWER, 0));
+  }
+
+  @Override
+  public Mono<StopAnswer> stop(ScopeAction.Stop order) {
+    return Mono.just(StopAnswer.NO_ANSWER);
+  }
+
+  @Override
+  public Mono<LookAnswer> look(ScopeAction.Look order) {
+    return Mono.just(LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
+  }
+}
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/StaleCallTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/StaleCallTest.java
@@ -31,9 +31,7 @@
 import org.primrosegauge.core.scope.ScopeConfiguration;
 import org.primrosegauge.core.scope.ScopeLedger;
 import org.primrosegauge.core.scope.ScopeScheduler;
-import org.primrosegauge.core.scope.StartAnswer;
 import org.primrosegauge.core.scope.StepSpec;
-import org.primrosegauge.core.scope.StopAnswer;
 import org.primrosegauge.core.scope.WorkerInfo;
 import org.primrosegauge.core.scope.WorkerKey;
 import org.primrosegauge.core.scope.WorkerStatus;
@@ -129,23 +127,13 @@
   }
 
   /** A worker that never answers, whose looks can hold the leader's thread up. */
-  private final class GatedWorker implements WorkerOrders {
-
-    @Override
-    public Mono<StartReply> start(ScopeAction.Start order) {
-      return Mono.just(new StartReply(StartAnswer.NO_ANSWER, 0));
-    }
-
-    @Override
-    public Mono<StopAnswer> stop(ScopeAction.Stop order) {
-      return Mono.just(StopAnswer.NO_ANSWER);
-    }
+  private final class GatedWorker extends SilentWorkers {
 
     @Override
     public Mono<LookAnswer> look(ScopeAction.Look order) {
       met.countDown();
       thread.pass();
-      return Mono.just(LookAnswer.without(LookAnswer.Kind.NO_ANSWER));
+      return super.look(order);
     }
   }
 
