--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/LoopbackSite.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/daemon/LoopbackSite.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -25,6 +24,7 @@
 import org.primrosegauge.core.ServiceId;
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.job.Resources;
+import org.primrosegauge.node.FreePort;
 import org.primrosegauge.node.cfg.EndpointSettings;
 import org.primrosegauge.node.cfg.InstanceSettings;
 import org.primrosegauge.node.cfg.NodeSettings;
@@ -95,7 +95,7 @@
 
   LoopbackSite() throws Exception {
     for (int i = 0; i < 2 * DOMAINS.size(); i++) {
-      ports.add(freePort());
+      ports.add(FreePort.on(HOST));
     }
     for (int i = 0; i < DOMAINS.size(); i++) {
       InstanceDaemon daemon = new InstanceDaemon(settings(i), new MemoryStorage(), failure -> {});
@@ -304,10 +304,4 @@
   private String address(int instance) {
     return "http://" + HOST + ":" + ports.get(2 * instance);
   }
-
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
 }
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/MalformedFramesTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/MalformedFramesTest.java
@@ -5,8 +5,6 @@
 
 import java.io.DataOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.file.Path;
@@ -38,6 +36,7 @@
 import org.primrosegauge.core.scope.WorkerKey;
 import org.primrosegauge.core.scope.WorkerStatus;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
+import org.primrosegauge.node.FreePort;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.scope.cfg.ScopeNodeSettings;
 import org.primrosegauge.wire.Frame;
@@ -68,9 +67,7 @@
 
   @BeforeEach
   void start() throws Exception {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(SELF.value()))) {
-      port = free.getLocalPort();
-    }
+    port = FreePort.on(SELF.value());
     ScopeNodeSettings settings =
         new ScopeNodeSettings(
             SELF, port, Optional.of(folder), List.of(SELF), true, 1, 60_000, ScopeSettings.DEFAULT);
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
@@ -3,8 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -43,6 +41,7 @@
 import org.primrosegauge.core.scope.WorkerKey;
 import org.primrosegauge.core.scope.WorkerStatus;
 import org.primrosegauge.core.scope.cfg.ScopeSettings;
+import org.primrosegauge.node.FreePort;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.scope.cfg.ScopeNodeSettings;
 import reactor.core.publisher.Mono;
@@ -63,9 +62,7 @@
 
   @BeforeEach
   void start() throws Exception {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(ENTRY))) {
-      port = free.getLocalPort();
-    }
+    port = FreePort.on(ENTRY);
     for (String host : HOSTS) {
       startInstance(host, true, Optional.of(folder.resolve(host)));
     }
