Office is taken by the question that the landed code asks: lease, and all that is committed is applied

Change: takeOfficeIfDue asks isAuthoritative again; holdsEarlierTerms leaves the port and is private to holdsLease, which still needs it while entries of the own term are applied. Office is never taken earlier than before this commit.

SchedulerRunnerTest.ordersLeaveWhileFurtherEntriesWaitToBeApplied takes office before entries wait, as it did when it was written; no assertion changed. officeIsTakenOnceEarlierTermsAreApplied and BatchedCommitTest pass.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -213,15 +213,6 @@
     return replica.readIndex(nowMillis).map(index -> index.number() <= applied).orElse(false);
   }
 
-  /**
-   * Tells whether this replica leads and its state holds all that was committed in earlier terms.
-   *
-   * @since 0.3
-   */
-  public boolean holdsEarlierTerms() {
-    return replica.termStart().map(start -> start.number() <= applied).orElse(false);
-  }
-
   /**
    * Tells whether this replica leads under a valid lease and its state holds all of earlier terms,
    * so that no other can act and nothing was decided elsewhere that it does not know. Unlike {@link
@@ -233,6 +224,10 @@
     return replica.readIndex(nowMillis).isPresent() && holdsEarlierTerms();
   }
 
+  private boolean holdsEarlierTerms() {
+    return replica.termStart().map(start -> start.number() <= applied).orElse(false);
+  }
+
   /**
    * Tells whether this replica leads.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/Leadership.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/Leadership.java
@@ -13,9 +13,6 @@
   /** Tells whether it leads under a valid lease and holds everything that is committed. */
   boolean isAuthoritative(long nowMillis);
 
-  /** Tells whether it leads and its state holds all that was committed in earlier terms. */
-  boolean holdsEarlierTerms();
-
   /**
    * Tells whether it leads under a valid lease and holds all of earlier terms, so that no other
    * leader has decided anything that it does not know.
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/LogLeadership.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/LogLeadership.java
@@ -19,11 +19,6 @@
     return log.isAuthoritative(nowMillis);
   }
 
-  @Override
-  public boolean holdsEarlierTerms() {
-    return log.holdsEarlierTerms();
-  }
-
   @Override
   public boolean holdsLease(long nowMillis) {
     return log.holdsLease(nowMillis);
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -87,9 +87,9 @@
     return scheduler.isInOffice();
   }
 
-  /** Lets the scheduler decide once this replica leads and holds all of earlier terms. */
+  /** Lets the scheduler decide once this replica leads and holds all that is committed. */
   void takeOfficeIfDue() {
-    boolean isDue = log.holdsEarlierTerms() && !scheduler.isInOffice();
+    boolean isDue = !scheduler.isInOffice() && log.isAuthoritative(clock.nowMillis());
     if (isDue) {
       events.office(true, log.term());
       run(EventKind.OFFICE, (leader, present) -> leader.takeOffice(log.term(), present));
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/SchedulerRunnerTest.java
@@ -45,11 +45,6 @@
       return !isApplying && holdsLease(nowMillis);
     }
 
-    @Override
-    public boolean holdsEarlierTerms() {
-      return !isReplaying;
-    }
-
     @Override
     public boolean holdsLease(long nowMillis) {
       return !isReplaying && nowMillis < LEASE_END_MILLIS;
@@ -130,8 +125,8 @@
    */
   @Test
   void ordersLeaveWhileFurtherEntriesWaitToBeApplied() {
-    isApplying = true;
     runner.takeOfficeIfDue();
+    isApplying = true;
     runner.settle(now);
     assertThat(looked).hasSize(WORKERS);
   }
