One question for earlier lifetimes, one for the tasks of a job, one walk over the sessions of an order

ScopeCore asked its sessions what the ledger answers since the leave of unknown workers is recorded: while it decides there is a session for each worker of the ledger. No behaviour changes.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.Term;
@@ -153,13 +154,15 @@
       WorkerSession session = state.sessions.get(gone.worker());
       dropOldSessions(session == null ? List.of() : List.of(session), present);
     } else if (command instanceof ScopeCommand.SwitchRenewal order) {
-      order.workers().stream()
-          .map(state.sessions::get)
-          .filter(Objects::nonNull)
+      sessionsOf(order)
           .forEach(worker -> looks.renewalSwitched(worker, order.isSuspended(), present));
     }
   }
 
+  private Stream<WorkerSession> sessionsOf(ScopeCommand.SwitchRenewal order) {
+    return order.workers().stream().map(state.sessions::get).filter(Objects::nonNull);
+  }
+
   private void workerSeen(WorkerInfo info, Present present) {
     if (state.ledger.isOutdated(info)) {
       return;
@@ -281,10 +284,7 @@
         worker.left = false;
       }
     } else if (command instanceof ScopeCommand.SwitchRenewal order) {
-      order.workers().stream()
-          .map(state.sessions::get)
-          .filter(Objects::nonNull)
-          .forEach(worker -> worker.renewalSwitchProposed = false);
+      sessionsOf(order).forEach(worker -> worker.renewalSwitchProposed = false);
     }
   }
 
@@ -305,7 +305,7 @@
     WorkerKey key = status.info().key();
     WorkerSession session = state.sessions.get(key);
     if (session == null) {
-      if (!isOutdated(status.info())) {
+      if (!state.ledger.isOutdated(status.info())) {
         state.announced.put(key, status);
         state.propose(new ScopeCommand.SeeWorker(status.info()));
       }
@@ -326,12 +326,6 @@
     state.dirty |= wasSilent || wasDraining != session.draining;
   }
 
-  /** A heartbeat of an earlier lifetime, or from an address that another worker has taken over. */
-  private boolean isOutdated(WorkerInfo info) {
-    return state.sessionsSharing(info).stream()
-        .anyMatch(known -> known.info.key().bornMillis() > info.key().bornMillis());
-  }
-
   /** Notes that a worker ends; runs still there are over once nothing listens or they lapse. */
   public void workerLeft(TargetId target, Present present) {
     for (WorkerSession session : state.sessionsOf(target)) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/JobSubmission.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/JobSubmission.java
@@ -27,7 +27,12 @@
     }
   }
 
-  private static long tasksOf(List<StepSpec> steps) {
+  /**
+   * Returns how many tasks some steps have together.
+   *
+   * @since 0.3
+   */
+  public static long tasksOf(List<StepSpec> steps) {
     return steps.stream().mapToLong(StepSpec::count).sum();
   }
 
