Requests reach only the incarnation of a worker that they are addressed to

Cause: a start names its worker by an id, which the next incarnation may have too. A start without a response is sent again over a new connection; the new incarnation accepted it, its clock having begun anew. The response to a start does not name the incarnation, so the run was counted for the former one and closed as lost when the new one registered. On the same path a poll could discard ends of the new incarnation by number, and renew a lease that the leader did not count.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/WorkerClient.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/WorkerClient.java
@@ -23,21 +23,23 @@
   record StartReply(StartResult result, long clockMillis) {}
 
   /**
-   * Requests a worker to start a run.
+   * Requests an incarnation of a worker to start a run. No other incarnation may carry the request
+   * out, whatever happens to the worker meanwhile.
    *
    * @since 0.2
    */
   Mono<StartReply> start(ScopeAction.Start request);
 
   /**
-   * Requests a worker to stop a run.
+   * Requests an incarnation of a worker to stop a run.
    *
    * @since 0.2
    */
   Mono<StopResult> stop(ScopeAction.Stop request);
 
   /**
-   * Polls a worker for its runs.
+   * Polls an incarnation of a worker for its runs. The ends that it acknowledges and the lease that
+   * it renews are those of this incarnation, so no other one may carry the request out.
    *
    * @since 0.2
    */
