Runs missing from a full page of ends are not taken for lost

Cause: a worker returns 500 ends at a time. A run that a report lists neither as running nor as ended was recorded as lapsed even if the list of ends was a full page; the end as done in the next report was then dropped.

Change: PollResult.isComplete; an incomplete report ends no missing run. The emulated worker of the stand-ins pages its ends too.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/PollResult.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/PollResult.java
@@ -9,10 +9,16 @@
  * @param clockMillis time on the worker's clock when it responded, in milliseconds
  * @param running runs that are active on the worker
  * @param ended runs that have ended and that the worker has not discarded, oldest first
+ * @param isComplete whether {@code ended} lists all such runs; a worker reports a limited number at
+ *     once, and the others in later responses
  * @since 0.2
  */
 public record PollResult(
-    Kind kind, long clockMillis, List<RunningEntry> running, List<EndedEntry> ended) {
+    Kind kind,
+    long clockMillis,
+    List<RunningEntry> running,
+    List<EndedEntry> ended,
+    boolean isComplete) {
 
   /** How a poll ended. */
   public enum Kind {
@@ -34,6 +40,16 @@
     ended = List.copyOf(ended);
   }
 
+  /**
+   * Creates a result that lists all runs that have ended.
+   *
+   * @since 0.2
+   */
+  public PollResult(
+      Kind kind, long clockMillis, List<RunningEntry> running, List<EndedEntry> ended) {
+    this(kind, clockMillis, running, ended, true);
+  }
+
   /**
    * Returns a result of a poll that did not yield a report.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerPoller.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerPoller.java
@@ -207,7 +207,9 @@
     state.examined(worker.runs.size() + result.ended().size() + result.running().size());
     Set<RunId> ended = recordEnds(worker, result.ended(), now);
     Set<RunId> running = recordRunning(worker, result.running(), now);
-    endMissingRuns(worker, running, ended, now);
+    if (result.isComplete()) {
+      endMissingRuns(worker, running, ended, now);
+    }
   }
 
   /** Records the ends that the response to a probe reports. */
@@ -283,7 +285,10 @@
     state.emit(new ScopeAction.Stop(worker.info.key(), worker.info.address(), run, state.term));
   }
 
-  /** Ends the runs that the worker should have and does not report. */
+  /**
+   * Ends the runs that the worker should have and does not report. A report that does not list all
+   * ends proves nothing about the runs that it lacks: their ends may be among those that follow.
+   */
   private void endMissingRuns(
       WorkerSession worker, Set<RunId> running, Set<RunId> ended, ClockReading now) {
     for (RunState run : List.copyOf(worker.runs.values())) {
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
@@ -32,6 +32,7 @@
   static final long GANG_TIMEOUT_MILLIS = 3_000;
   static final long CHECKPOINT_MILLIS = 1_000;
   static final long LONGEST_LEASE_MILLIS = 10_000;
+  static final int MAX_ENDS_PER_RESPONSE = 500;
 
   /** Time after which a run fails on a worker that fails all. */
   private static final long FAIL_ALL_MILLIS = 200;
@@ -206,7 +207,9 @@
       int percent = (int) (100 * run.progressMillis / run.workMillis);
       running.add(new RunningEntry(run.id, run.saved, percent));
     }
-    return new PollResult(PollResult.Kind.REPORT, clock(now), running, List.copyOf(ended));
+    boolean isComplete = ended.size() < MAX_ENDS_PER_RESPONSE;
+    List<EndedEntry> oldest = ended.subList(0, Math.min(ended.size(), MAX_ENDS_PER_RESPONSE));
+    return new PollResult(PollResult.Kind.REPORT, clock(now), running, oldest, isComplete);
   }
 
   private void extend(long until, long now) {
