A lost voter is replaced before the next one may be lost

Cause: a voter was replaced after 8 s of silence, a constant, while the next loss is allowed 4 s (catch_up_s) after the successor's start. And a learner was promoted before the lost voter was removed: with four voters of which one is lost, each of the other three is needed.

Change: a voter is replaced after a quarter of the deployment's catch-up time without a reply, if a learner holds all committed entries, and it is removed before the learner is promoted. The time without a reply after which a learner is given up stays at 48 s (factor 48 instead of 6).

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -41,7 +41,7 @@
    * Multiple of {@link LogSettings#voterLossMillis()} after which an unresponsive learner is
    * removed.
    */
-  private static final int LEARNER_LOSS_FACTOR = 6;
+  private static final int LEARNER_LOSS_FACTOR = 48;
 
   private final ReplicaContext context;
   private final RandomGenerator random;
@@ -521,17 +521,23 @@
   }
 
   /**
-   * Removes an unresponsive voter in excess of the target, or a learner that has been unresponsive
-   * for longer.
+   * Removes an unresponsive voter that is in excess of the target or can be replaced by a learner,
+   * or a learner that has been unresponsive for longer.
+   *
+   * <p>A voter is removed before the learner is promoted. As long as it is unresponsive, the quorum
+   * needs the same instances without it as with it; promoted first, the learner would be needed
+   * too, and none of them could be lost until the removal is committed.
    */
   private void removeUnresponsiveMember(long nowMillis) {
     int loss = context.settings().voterLossMillis();
-    boolean hasSpareVoter =
-        context.membership().voters().size() > context.settings().targetVoters();
+    int voters = context.membership().voters().size();
+    int target = context.settings().targetVoters();
+    boolean isVoterDispensable =
+        voters > target || (voters == target && hasReadyLearner(nowMillis));
     for (Member member : context.membership().members()) {
       boolean isRemovable =
           member.isVoter()
-              ? hasSpareVoter && leader.isUnresponsive(member, loss, nowMillis)
+              ? isVoterDispensable && leader.isUnresponsive(member, loss, nowMillis)
               : leader.isUnresponsive(member, LEARNER_LOSS_FACTOR * loss, nowMillis);
       MembershipChange change = new MembershipChange.Remove(member.replica().instance());
       if (isRemovable && changeRefusal(change, nowMillis) == null) {
@@ -541,16 +547,9 @@
     }
   }
 
-  private boolean needsVoter(long nowMillis) {
-    int target = context.settings().targetVoters();
-    int voters = context.membership().voters().size();
-    boolean hasSilentVoter =
-        context.membership().members().stream()
-            .filter(Member::isVoter)
-            .anyMatch(
-                voter ->
-                    leader.isUnresponsive(voter, context.settings().voterLossMillis(), nowMillis));
-    return voters < target || (voters == target && hasSilentVoter);
+  private boolean hasReadyLearner(long nowMillis) {
+    return context.membership().members().stream()
+        .anyMatch(member -> !member.isVoter() && leader.isCaughtUp(member, nowMillis));
   }
 
   private MembershipChange nextChangeFor(Member member, long nowMillis) {
@@ -564,7 +563,7 @@
     }
     boolean isWanted =
         context.settings().targetVoters() > 0
-            ? needsVoter(nowMillis)
+            ? context.membership().voters().size() < context.settings().targetVoters()
             : context.settings().initialVoters().contains(instance);
     boolean isDue = !member.isVoter() && isWanted;
     return isDue ? new MembershipChange.Promote(instance) : null;
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
@@ -244,6 +244,11 @@
     crash(nodes.get(number));
   }
 
+  /** Makes the network deliver all messages between instances that run, as TCP does. */
+  void loseNoMessages() {
+    lossPercent = 0;
+  }
+
   /** Restarts an instance that is down. */
   void startAt(int number) {
     start(nodes.get(number));
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
@@ -47,7 +47,10 @@
   private static final long HOUSEKEEPING_INTERVAL_MILLIS = 100;
   private static final long JOIN_INTERVAL_MILLIS = 500;
   private static final long STORAGE_CHECK_INTERVAL_MILLIS = 250;
-  private static final int VOTER_LOSS_TIMEOUT_MILLIS = 8_000;
+
+  /** Part of the time between two losses for which a voter is silent before it is replaced. */
+  private static final int VOTER_LOSS_DIVISOR = 4;
+
   private static final int HEARTBEAT_INTERVAL_MILLIS = 200;
   private static final int ELECTION_MIN_MILLIS = 700;
   private static final int ELECTION_MAX_MILLIS = 1_300;
@@ -142,7 +145,8 @@
     RandomGenerator random = new SplittableRandom(settings.self().hashCode() ^ System.nanoTime());
     ScopeLedger state = new ScopeLedger(settings.retentionMillis());
     return new ScopeReplica(
-        logSettings(settings.self(), initialVoters, settings.targetVoters()),
+        logSettings(
+            settings.self(), initialVoters, settings.targetVoters(), settings.catchUpMillis()),
         state,
         new ScopeScheduler(state, settings.scheduling()),
         sinceMillis,
@@ -162,13 +166,14 @@
 
   /**
    * Returns the settings of the log. The timeouts are chosen so that a lost leader is replaced
-   * before most callers time out.
+   * before most callers time out, and that a learner replaces a lost voter well before the next one
+   * may be lost: there may have to be an election first.
    */
   static LogSettings logSettings(
-      InstanceId self, List<InstanceId> initialVoters, int targetVoters) {
+      InstanceId self, List<InstanceId> initialVoters, int targetVoters, int catchUpMillis) {
     return LogSettings.of(self, initialVoters)
         .withTimings(HEARTBEAT_INTERVAL_MILLIS, ELECTION_MIN_MILLIS, ELECTION_MAX_MILLIS)
-        .withTargetVoters(targetVoters, VOTER_LOSS_TIMEOUT_MILLIS);
+        .withTargetVoters(targetVoters, catchUpMillis / VOTER_LOSS_DIVISOR);
   }
 
   /**
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/cfg/ScopeNodeSettings.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/cfg/ScopeNodeSettings.java
@@ -17,6 +17,8 @@
  * @param isFirstStart whether the scope starts for the first time, with empty data folders on all
  *     instances
  * @param targetVoters number of voters that the log maintains
+ * @param catchUpMillis time after its start within which an instance that replaces a lost one has
+ *     to count as a voter, so that another instance may be lost; in milliseconds
  * @param retentionMillis how long a job is retained after its end, in milliseconds
  * @param scheduling settings of the scheduler
  * @since 0.2
@@ -28,6 +30,7 @@
     List<InstanceId> seeds,
     boolean isFirstStart,
     int targetVoters,
+    int catchUpMillis,
     long retentionMillis,
     ScopeSettings scheduling) {
 
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
@@ -87,6 +87,7 @@
             HOSTS.stream().map(InstanceId::new).toList(),
             isFirstStart,
             HOSTS.size(),
+            4_000,
             60_000,
             ScopeSettings.DEFAULT);
     ScopeInstance instance =
