The log of a replica is bounded in bytes, not only in entries

Entries of 1.5 MB filled the heap of 160 MB long before; a restart read them into the same heap again.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -252,7 +252,8 @@
       Membership members = context.log().membershipAt(number);
       LogSnapshot snapshot =
           new LogSnapshot(index, entry.term(), entry.logMillis(), members, state);
-      context.log().compact(snapshot, context.settings().trailingEntries());
+      LogSettings limits = context.settings();
+      context.log().compact(snapshot, limits.trailingEntries(), limits.trailingBytes());
       context.outbox().persist(snapshot, true, context.log().lastIndex());
     }
     return drain(nowMillis);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/cfg/LogSettings.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/cfg/LogSettings.java
@@ -24,6 +24,7 @@
  * @param snapshotChunkBytes maximum size of the snapshot chunk in one message, in bytes
  * @param trailingEntries number of entries before a snapshot that stay in memory for followers that
  *     lag slightly
+ * @param trailingBytes maximum size of these entries, in bytes
  * @param automaticReadmission whether the leader adds a voter that came back with an empty disk to
  *     the log again, first as a learner
  * @param targetVoters number of voters up to which the leader promotes learners; 0 if only initial
@@ -44,6 +45,7 @@
     int maxUncommittedBytes,
     int snapshotChunkBytes,
     int trailingEntries,
+    int trailingBytes,
     boolean automaticReadmission,
     int targetVoters,
     int voterLossMillis) {
@@ -57,6 +59,7 @@
   private static final int MAX_UNCOMMITTED_BYTES = 8 * 1024 * 1024;
   private static final int SNAPSHOT_CHUNK_BYTES = 64 * 1024;
   private static final int TRAILING_ENTRIES = 1_000;
+  private static final int TRAILING_BYTES = 4 * 1024 * 1024;
   private static final int VOTER_LOSS_MILLIS = 10_000;
 
   /** Checks the ranges and copies the list of voters. */
@@ -70,6 +73,7 @@
     require(maxBatchBytes > 0 && maxInFlightBytes > 0 && maxUncommittedBytes > 0, "max...Bytes");
     require(snapshotChunkBytes > 0, "snapshotChunkBytes");
     require(trailingEntries >= 0, "trailingEntries");
+    require(trailingBytes >= 0, "trailingBytes");
   }
 
   /**
@@ -90,6 +94,7 @@
         MAX_UNCOMMITTED_BYTES,
         SNAPSHOT_CHUNK_BYTES,
         TRAILING_ENTRIES,
+        TRAILING_BYTES,
         true,
         0,
         VOTER_LOSS_MILLIS);
@@ -174,6 +179,7 @@
     private final int maxUncommittedBytes;
     private int snapshotChunkBytes;
     private int trailingEntries;
+    private final int trailingBytes;
     private boolean automaticReadmission;
     private int targetVoters;
     private int voterLossMillis;
@@ -190,6 +196,7 @@
       maxUncommittedBytes = settings.maxUncommittedBytes;
       snapshotChunkBytes = settings.snapshotChunkBytes;
       trailingEntries = settings.trailingEntries;
+      trailingBytes = settings.trailingBytes;
       automaticReadmission = settings.automaticReadmission;
       targetVoters = settings.targetVoters;
       voterLossMillis = settings.voterLossMillis;
@@ -213,6 +220,7 @@
           maxUncommittedBytes,
           snapshotChunkBytes,
           trailingEntries,
+          trailingBytes,
           automaticReadmission,
           targetVoters,
           voterLossMillis);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/MemoryLog.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/MemoryLog.java
@@ -135,16 +135,36 @@
     baseTerm = replacement.term();
   }
 
-  /** Stores a snapshot and removes the entries that it covers, except for the trailing ones. */
-  public void compact(LogSnapshot replacement, int trailingEntries) {
+  /**
+   * Stores a snapshot and removes the entries that it covers, except for the trailing ones.
+   *
+   * @param trailingEntries largest number of covered entries that stay
+   * @param trailingBytes largest size of the covered entries that stay, in bytes
+   */
+  public void compact(LogSnapshot replacement, int trailingEntries, int trailingBytes) {
     snapshot = replacement;
-    long newBase = Math.max(baseIndex, replacement.index().number() - trailingEntries);
+    long newBase = trailingBase(replacement.index().number(), trailingEntries, trailingBytes);
     Term newBaseTerm = termAt(newBase);
     entries.subList(0, (int) (newBase - baseIndex)).clear();
     baseIndex = newBase;
     baseTerm = newBaseTerm;
   }
 
+  /** Returns the index before the first of the trailing entries up to an index. */
+  private long trailingBase(long last, int trailingEntries, int trailingBytes) {
+    long lowest = Math.max(baseIndex, last - trailingEntries);
+    long base = last;
+    long bytes = 0;
+    while (base > lowest) {
+      bytes += entry(base).sizeBytes();
+      if (bytes > trailingBytes) {
+        break;
+      }
+      base--;
+    }
+    return base;
+  }
+
   /** Returns the members as of the last entry, committed or not. */
   public Membership membership() {
     return membershipAt(lastIndex());
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -19,6 +19,7 @@
 import org.primrosegauge.core.log.LogIndex;
 import org.primrosegauge.core.log.LogMessage;
 import org.primrosegauge.core.log.LogReplica;
+import org.primrosegauge.core.log.LogSnapshot;
 import org.primrosegauge.core.log.Membership;
 import org.primrosegauge.core.log.MembershipChange;
 import org.primrosegauge.core.log.RecoveredLog;
@@ -55,6 +56,12 @@
   private static final int SNAPSHOT_QUEUE_CAPACITY = 2;
   private static final long SNAPSHOT_INTERVAL_ENTRIES = 2_000;
 
+  /**
+   * Size of the entries since the last snapshot at which the next one is due, in bytes. The entries
+   * since then are in memory, and a restart has to fit them in again.
+   */
+  private static final long SNAPSHOT_INTERVAL_BYTES = 4 * 1024 * 1024;
+
   /**
    * Dependencies of the replica.
    *
@@ -86,6 +93,8 @@
   private boolean isPerforming;
   private long appliedIndex;
   private long lastSnapshotIndex;
+  private long lastSnapshotBytes;
+  private long bytesSinceSnapshot;
   private boolean isWritingSnapshot;
   private volatile InstanceId knownLeader;
 
@@ -136,7 +145,9 @@
             dependencies.clock(),
             now -> {});
     RecoveredLog recovered = dependencies.storage().recover();
-    restoreFrom(recovered);
+    if (recovered.snapshot() != null) {
+      restoreFrom(recovered.snapshot());
+    }
     this.replica = new LogReplica(settings, recovered, dependencies.random(), sinceMillis);
     dependencies
         .transport()
@@ -372,8 +383,7 @@
       stateMachine.onApplied(appliedIndex);
       snapshotIfDue();
     } else if (action instanceof LogAction.InstallSnapshot install) {
-      restore(install.snapshot().state());
-      appliedIndex = install.snapshot().index().number();
+      restoreFrom(install.snapshot());
       stateMachine.onApplied(appliedIndex);
     } else if (action instanceof LogAction.LeaderChanged change) {
       handleLeaderChange(change);
@@ -393,6 +403,7 @@
 
   private void apply(LogEntry entry) {
     appliedIndex = entry.index().number();
+    bytesSinceSnapshot += entry.sizeBytes();
     R result = entry.isCommand() ? applyCommand(entry) : null;
     PendingResult<R> waiting = pendingResults.remove(entry.index());
     if (waiting == null) {
@@ -435,26 +446,34 @@
   }
 
   private void snapshotIfDue() {
-    if (isWritingSnapshot || appliedIndex - lastSnapshotIndex < SNAPSHOT_INTERVAL_ENTRIES) {
+    if (isWritingSnapshot || !isSnapshotDue()) {
       return;
     }
     lastSnapshotIndex = appliedIndex;
+    bytesSinceSnapshot = 0;
     LogIndex index = new LogIndex(appliedIndex);
     Supplier<byte[]> serializer = stateMachine.snapshot();
     isWritingSnapshot = snapshots.offer(() -> writeSnapshot(index, serializer));
   }
 
+  /** A snapshot larger than the limit is due only once as much has been applied since. */
+  private boolean isSnapshotDue() {
+    return appliedIndex - lastSnapshotIndex >= SNAPSHOT_INTERVAL_ENTRIES
+        || bytesSinceSnapshot >= Math.max(SNAPSHOT_INTERVAL_BYTES, lastSnapshotBytes);
+  }
+
   private void snapshotWritten(LogIndex index, byte[] bytes) {
     isWritingSnapshot = false;
+    lastSnapshotBytes = bytes.length;
     perform(replica.snapshotTaken(index, bytes, now()));
   }
 
-  private void restoreFrom(RecoveredLog recovered) {
-    if (recovered.snapshot() != null) {
-      restore(recovered.snapshot().state());
-      appliedIndex = recovered.snapshot().index().number();
-      lastSnapshotIndex = appliedIndex;
-    }
+  private void restoreFrom(LogSnapshot snapshot) {
+    restore(snapshot.state());
+    appliedIndex = snapshot.index().number();
+    lastSnapshotIndex = appliedIndex;
+    lastSnapshotBytes = snapshot.state().length;
+    bytesSinceSnapshot = 0;
   }
 
   private void restore(byte[] bytes) {
