A departure that no draining preceded does not end an incarnation

A late one of a former incarnation marked the next one as leaving, and a connection that a network fault refused then counted as its end: its runs were placed again while they ran.

Cause: ScopeCore.workerLeft applied to whatever incarnation was registered.

Change: it is proof only for an incarnation that has said that it drains; any other is polled, and gets nothing new until its next heartbeat.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -73,6 +73,7 @@
       state.examined(1 + worker.openRuns().size());
       WorkerSession session = openSession(worker.info(), now);
       session.draining = worker.isDraining();
+      session.drainAnnounced = worker.isDraining();
       session.drainEndMillis = now.monotonicMillis();
       if (worker.isRenewalSuspended()) {
         session.renewalSuspended = true;
@@ -343,13 +344,17 @@
   /**
    * Handles the announcement that a worker exits. Runs that are still there end once nothing
    * listens at its address or their lease expires.
+   *
+   * <p>The announcement names the target only. A worker drains before it exits, so an incarnation
+   * that has not is still there: the announcement is a late one of a former incarnation, or its
+   * draining was not heard. It gets nothing new until its next heartbeat.
    */
   public void workerLeft(TargetId target, ClockReading now) {
     for (WorkerSession session : state.sessionsOf(target)) {
       session.draining = true;
-      session.exitAnnounced = true;
       session.drainEndMillis = now.monotonicMillis();
-      if (session.runs.isEmpty()) {
+      session.exitAnnounced = session.drainAnnounced;
+      if (session.runs.isEmpty() && session.exitAnnounced) {
         lifecycle.proposeRemoval(session);
       } else {
         lifecycle.pollSoon(session, now.monotonicMillis());
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -42,6 +42,10 @@
   long sequence = -1;
   boolean draining;
   long drainEndMillis;
+
+  /** Whether the worker has said itself that it drains. */
+  boolean drainAnnounced;
+
   boolean removalProposed;
 
   /** Whether the worker has announced its exit. A worker that only drains may continue for long. */
@@ -160,11 +164,10 @@
     sequence = heartbeat.sequence();
     lastHeartbeatMillis = nowMillis;
     if (heartbeat.isDraining()) {
-      draining = true;
       drainEndMillis = nowMillis + heartbeat.drainRemainingMillis();
-    } else {
-      draining = false;
     }
+    draining = heartbeat.isDraining();
+    drainAnnounced = draining;
     if (!knowsClock()) {
       recordClock(heartbeat.clockMillis(), nowMillis);
     }
