--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogDiskLossTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogDiskLossTest.java
@@ -31,18 +31,10 @@
   private static LogSimulation startSimulation(long seed) {
     LogSimulation simulation =
         new LogSimulation(TIMINGS, SEED_INSTANCES, INSTANCES - SEED_INSTANCES, seed);
-    run(simulation, START_MILLIS);
+    simulation.runProposing(START_MILLIS);
     return simulation;
   }
 
-  /** Advances the virtual time while commands are proposed. */
-  private static void run(LogSimulation simulation, long millis) {
-    for (long at = 0; at < millis; at += 50) {
-      simulation.proposeAtLeader();
-      simulation.runFor(50);
-    }
-  }
-
   private static void assertRecovers(LogSimulation simulation) {
     long waited = 0;
     while (!simulation.hasServingLeader() && waited < RECOVERY_MILLIS) {
@@ -53,7 +45,7 @@
         .that(simulation.hasServingLeader())
         .isTrue();
     long before = simulation.acknowledged();
-    run(simulation, 2_000);
+    simulation.runProposing(2_000);
     assertThat(simulation.acknowledged()).isGreaterThan(before);
   }
 
@@ -77,7 +69,7 @@
     for (int seed = 0; seed < RUNS; seed++) {
       LogSimulation simulation =
           new LogSimulation(TIMINGS, SEED_INSTANCES, INSTANCES - SEED_INSTANCES, seed);
-      run(simulation, CATCH_UP_MILLIS);
+      simulation.runProposing(CATCH_UP_MILLIS);
       assertWithMessage("seed %s", seed).that(simulation.voters()).hasSize(TARGET_VOTERS);
     }
   }
@@ -147,13 +139,13 @@
         int first = pickInstance(simulation, random, -1);
         int second = pickInstance(simulation, random, first);
         simulation.loseDisk(first);
-        run(simulation, random.nextInt(2) * random.nextInt(2_000));
+        simulation.runProposing(random.nextInt(2) * random.nextInt(2_000));
         simulation.loseDisk(second);
         maybeFreezeLeader(simulation, random);
-        run(simulation, 100 + random.nextInt(3_000));
+        simulation.runProposing(100 + random.nextInt(3_000));
         simulation.startAt(first);
         simulation.startAt(second);
-        run(simulation, CATCH_UP_MILLIS);
+        simulation.runProposing(CATCH_UP_MILLIS);
       }
       simulation.heal();
       assertRecovers(simulation);
@@ -172,22 +164,22 @@
       int second = pickInstance(simulation, random, first);
       simulation.loseDisk(first);
       simulation.loseDisk(second);
-      run(simulation, 100);
+      simulation.runProposing(100);
       simulation.startAt(first);
       simulation.startAt(second);
-      run(simulation, random.nextInt(1_500));
+      simulation.runProposing(random.nextInt(1_500));
       // All processes crash and restart within a second; their disks are intact.
       for (int number = 0; number < INSTANCES; number++) {
         simulation.crashAt(number);
       }
       simulation.runFor(900);
       simulation.heal();
-      run(simulation, CATCH_UP_MILLIS);
+      simulation.runProposing(CATCH_UP_MILLIS);
       int third = pickInstance(simulation, random, -1);
       int fourth = pickInstance(simulation, random, third);
       simulation.loseDisk(third);
       simulation.loseDisk(fourth);
-      run(simulation, 200);
+      simulation.runProposing(200);
       simulation.heal();
       assertRecovers(simulation);
     }
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplacementTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplacementTest.java
@@ -47,9 +47,9 @@
       for (int round = 0; round < rounds; round++) {
         assertServes(simulation, seed, round);
         simulation.loseDisk(pick(simulation, victim, random));
-        run(simulation, successorDelayMillis);
+        simulation.runProposing(successorDelayMillis);
         simulation.startAt(SEED_INSTANCES + round);
-        run(simulation, catchUpMillis);
+        simulation.runProposing(catchUpMillis);
       }
       assertServes(simulation, seed, rounds);
     }
@@ -64,17 +64,10 @@
     for (int number = 0; number < successors; number++) {
       simulation.loseDisk(SEED_INSTANCES + number);
     }
-    run(simulation, START_MILLIS);
+    simulation.runProposing(START_MILLIS);
     return simulation;
   }
 
-  private static void run(LogSimulation simulation, long millis) {
-    for (long at = 0; at < millis; at += 50) {
-      simulation.proposeAtLeader();
-      simulation.runFor(50);
-    }
-  }
-
   private static int pick(LogSimulation simulation, Victim victim, SplittableRandom random) {
     int leader = simulation.leaders().get(0);
     List<Integer> voters =
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
@@ -29,6 +29,7 @@
       new Timings(50, ELECTION_MIN_MILLIS, ELECTION_MAX_MILLIS, 0, 10_000);
   private static final int ADMISSION_RETRY_MILLIS = 500;
   private static final int TICK_MILLIS = 10;
+  private static final int PROPOSAL_INTERVAL_MILLIS = 50;
   private static final int MAX_DELAY_MILLIS = 30;
   private static final int MAX_SYNC_MILLIS = 15;
   private static final int MAX_SLOW_SYNC_MILLIS = 400;
@@ -244,6 +245,14 @@
     crash(nodes.get(number));
   }
 
+  /** Lets time pass while commands are proposed at the leader, in milliseconds. */
+  void runProposing(long millis) {
+    for (long at = 0; at < millis; at += PROPOSAL_INTERVAL_MILLIS) {
+      proposeAtLeader();
+      runFor(PROPOSAL_INTERVAL_MILLIS);
+    }
+  }
+
   /** Makes the network deliver all messages between instances that run, as TCP does. */
   void loseNoMessages() {
     lossPercent = 0;
