--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/LateDepartureTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/LateDepartureTest.java
@@ -35,7 +35,7 @@
 
   @Test
   void departureThatWasNotPrecededByDrainingProvesNothing() {
-    RunId run = startRun();
+    final RunId run = startRun();
     // A departure that is not acknowledged in time is sent again.
     fixture.core.workerLeft(worker.key().target(), fixture.now());
     fixture.core.workerLeft(worker.key().target(), fixture.now());
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/OddHeartbeatTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/OddHeartbeatTest.java
@@ -28,7 +28,7 @@
       long bornMillis, long sequence, long drainRemainingMillis, long clockMillis) {
     CoreFixture fixture = new CoreFixture();
     WorkerInfo odd = CoreFixture.worker(1, bornMillis);
-    WorkerInfo sound = CoreFixture.worker(2, 1);
+    final WorkerInfo sound = CoreFixture.worker(2, 1);
     fixture.startLeading(1);
     fixture.apply(new ScopeCommand.SeeWorker(odd));
     fixture.core.handleHeartbeat(
