An instance that was removed while it was down is admitted again

Callers could see LOST: a voter that was removed while it was down or cut off never came back to the log, so the next loss found no replica to replace it with. It held itself for a member, by its own list, and did not ask to be admitted; the leader sends nothing to instances that are not members. It was so before, after 8 s of silence; since a voter is replaced after a quarter of the catch-up time, a restart is enough where there is a standing learner.

That this is the whole cause is not shown.

Change: an instance that knows no leader asks to be admitted (one rule, LogReplica.needsAdmission, for the product and the simulation); for a member that has no effect.

Evidence: instanceThatWasReplacedWhileItWasDownIsAdmittedAgain failed before in 3 of 3 cases, passes now.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -140,6 +140,21 @@
     return context.membership();
   }
 
+  /**
+   * Returns whether this replica has to ask the leader to be admitted. One that knows no leader may
+   * have been removed without having received the change; for a member, asking has no effect.
+   *
+   * @since 0.4
+   */
+  public boolean needsAdmission() {
+    boolean isMember =
+        membership()
+            .find(id().instance())
+            .map(member -> member.replica().equals(id()))
+            .orElse(false);
+    return !isMember || (!isLeader() && leader().isEmpty());
+  }
+
   /**
    * Returns the index that must be applied before a linearizable read is served. Empty unless this
    * replica leads under a valid lease.
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplacementTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplacementTest.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Guards against LOST of review/1: two of three instances were gone for good, one after the other,
@@ -16,6 +17,7 @@
 class LogReplacementTest {
 
   private static final int SEED_INSTANCES = 3;
+  private static final int CATCH_UP_MILLIS = 4_000;
   private static final int START_MILLIS = 11_500;
   private static final int RECOVERY_MILLIS = 12_000;
   private static final int RUNS = 25;
@@ -55,11 +57,37 @@
     }
   }
 
+  /**
+   * Guards against an instance that is excluded for good: it was down while it was removed, so it
+   * did not know that it had to be admitted again.
+   */
+  @ParameterizedTest
+  @EnumSource(Victim.class)
+  void instanceThatWasReplacedWhileItWasDownIsAdmittedAgain(Victim victim) {
+    for (int seed = 0; seed < RUNS; seed++) {
+      LogSimulation simulation =
+          new LogSimulation(timings(CATCH_UP_MILLIS), SEED_INSTANCES, 1, seed);
+      simulation.loseNoMessages();
+      simulation.runProposing(START_MILLIS);
+      int down = pick(simulation, victim, new SplittableRandom(seed));
+      simulation.crashAt(down);
+      simulation.runProposing(2 * CATCH_UP_MILLIS);
+      assertWithMessage("seed %s", seed).that(simulation.voters()).doesNotContain(down);
+      simulation.startAt(down);
+      simulation.runProposing(CATCH_UP_MILLIS);
+      assertWithMessage("seed %s", seed).that(simulation.members()).contains(down);
+      assertServes(simulation, seed, 0);
+    }
+  }
+
+  private static LogSimulation.Timings timings(int catchUpMillis) {
+    return new LogSimulation.Timings(200, 700, 1_300, SEED_INSTANCES, catchUpMillis / 4);
+  }
+
   /** Starts the seed instances; the successors are down, with empty disks. */
   private static LogSimulation startSimulation(int successors, int catchUpMillis, int seed) {
-    LogSimulation.Timings timings =
-        new LogSimulation.Timings(200, 700, 1_300, SEED_INSTANCES, catchUpMillis / 4);
-    LogSimulation simulation = new LogSimulation(timings, SEED_INSTANCES, successors, seed);
+    LogSimulation simulation =
+        new LogSimulation(timings(catchUpMillis), SEED_INSTANCES, successors, seed);
     simulation.loseNoMessages();
     for (int number = 0; number < successors; number++) {
       simulation.loseDisk(SEED_INSTANCES + number);
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
@@ -197,7 +197,7 @@
         incarnation,
         () -> {
           ReplicaId asking = replicaId(node);
-          if (!isMember(node, asking)) {
+          if (node.replica.needsAdmission()) {
             nodes.forEach(other -> at(now + 1, () -> admit(node, other, asking)));
           }
           at(now + ADMISSION_RETRY_MILLIS, () -> requestAdmission(node, incarnation));
@@ -286,6 +286,23 @@
         .toList();
   }
 
+  /** Returns the numbers of the members according to the first serving leader. */
+  List<Integer> members() {
+    return nodes.stream()
+        .filter(
+            node -> node.replica != null && node.replica.readIndex(node.nowMillis()).isPresent())
+        .findFirst()
+        .map(leader -> numbersOf(leader.replica.membership()))
+        .orElse(List.of());
+  }
+
+  private List<Integer> numbersOf(Membership membership) {
+    return nodes.stream()
+        .filter(node -> membership.find(node.id).isPresent())
+        .map(node -> node.number)
+        .toList();
+  }
+
   /** Returns the numbers of the voters according to the first leader. */
   List<Integer> voters() {
     List<Integer> leaders = leaders();
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -226,6 +226,15 @@
     return replica.membership();
   }
 
+  /**
+   * Returns whether this replica has to ask the leader to be admitted.
+   *
+   * @since 0.4
+   */
+  public boolean needsAdmission() {
+    return replica.needsAdmission();
+  }
+
   /**
    * Returns whether this replica leads under a valid lease and has applied all committed entries,
    * so that it can serve linearizable reads.
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
@@ -160,24 +160,18 @@
   }
 
   /**
-   * Returns the request to be admitted to the log if this replica is not a member; empty if it is.
-   * May be called from any thread.
+   * Returns the request to be admitted to the log if this replica is not a member or may have been
+   * removed; empty otherwise. May be called from any thread.
    *
    * @since 0.2
    */
   public Mono<ScopeMessage.Join> joinRequestIfNeeded() {
     return log.duty()
         .ask(
-            () -> {
-              boolean isMember =
-                  log.membership()
-                      .find(log.id().instance())
-                      .map(member -> member.replica().equals(log.id()))
-                      .orElse(false);
-              return isMember
-                  ? Optional.<ScopeMessage.Join>empty()
-                  : Optional.of(new ScopeMessage.Join(log.id()));
-            })
+            () ->
+                log.needsAdmission()
+                    ? Optional.of(new ScopeMessage.Join(log.id()))
+                    : Optional.<ScopeMessage.Join>empty())
         .flatMap(Mono::justOrEmpty);
   }
 
