--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/Member.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/Member.java
@@ -33,4 +33,9 @@
   public boolean isVoter() {
     return role == Role.VOTER;
   }
+
+  @Override
+  public String toString() {
+    return replica + " " + role;
+  }
 }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -149,6 +149,12 @@
       restoreFrom(recovered.snapshot());
     }
     this.replica = new LogReplica(settings, recovered, dependencies.random(), sinceMillis);
+    LOG.info(
+        "replica {} of the log opened: last entry {}, term {}, members {}",
+        replica.id(),
+        replica.lastIndex(),
+        replica.term(),
+        replica.membership().members());
     dependencies
         .transport()
         .onTell(
@@ -393,6 +399,10 @@
       snapshotIfDue();
     } else if (action instanceof LogAction.InstallSnapshot install) {
       restoreFrom(install.snapshot());
+      LOG.info(
+          "snapshot of the leader installed at entry {}, members {}",
+          install.snapshot().index(),
+          install.snapshot().membership().members());
       stateMachine.onApplied(appliedIndex);
     } else if (action instanceof LogAction.LeaderChanged change) {
       handleLeaderChange(change);
@@ -413,6 +423,10 @@
   private void apply(LogEntry entry) {
     appliedIndex = entry.index().number();
     bytesSinceSnapshot += entry.sizeBytes();
+    if (entry.membership() != null) {
+      LOG.info(
+          "members of the log as of entry {}: {}", entry.index(), entry.membership().members());
+    }
     R result = entry.isCommand() ? applyCommand(entry) : null;
     PendingResult<R> waiting = pendingResults.remove(entry.index());
     if (waiting == null) {
