A silent voter is replaced in one step, so that no disk may end the log

Cause: the membership was changed by one voter at a time. To replace a voter that had been silent for a second (a freeze, a cut, a slow disk), the leader removed it and then promoted the standing learner. From the append of the removal to the commit of the promotion there were two voters, or replicas that held the log with two voters. If one of the two lost its disk then, no quorum was left, although the silent voter came back with its disk and the learner held everything.

Class of fault: the number of copies falls below twice the tolerated losses plus one during a change that is made because of a loss.

Change: MembershipChange.Replace. The outgoing and the incoming member are both in the log while the replacement lasts, and a quorum is a majority of the former and one of the next voters (joint consensus, as published with Raft); the leader completes it once it is committed, any leader does. The former voter stays as a learner, so that it receives the log as soon as it is back.

LogInvariants asks for a quorum by the same rule: stricter than the number before while a replacement lasts.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -17,6 +17,7 @@
 import org.primrosegauge.core.log.impl.Election;
 import org.primrosegauge.core.log.impl.Follower;
 import org.primrosegauge.core.log.impl.Leader;
+import org.primrosegauge.core.log.impl.MembershipManager;
 import org.primrosegauge.core.log.impl.ReplicaContext;
 
 /**
@@ -37,17 +38,12 @@
  */
 public final class LogReplica {
 
-  /**
-   * Multiple of {@link LogSettings#voterLossMillis()} after which an unresponsive learner is
-   * removed.
-   */
-  private static final int LEARNER_LOSS_FACTOR = 48;
-
   private final ReplicaContext context;
   private final RandomGenerator random;
   private final Follower follower;
   private Election election;
   private Leader leader;
+  private MembershipManager members;
   private long votesWithheldUntilMillis;
   private long electionDueMillis;
   private long repetitionDueMillis;
@@ -243,7 +239,7 @@
   public List<LogAction> changeMembership(MembershipChange change, long nowMillis) {
     Reason refusal = leadershipRefusal(nowMillis);
     if (refusal == null) {
-      refusal = changeRefusal(change, nowMillis);
+      refusal = members.refusal(change, nowMillis);
     }
     if (refusal != null) {
       refuse(refusal);
@@ -357,6 +353,7 @@
 
   private void becomeFollower() {
     leader = null;
+    members = null;
     election = null;
   }
 
@@ -404,6 +401,7 @@
       election = null;
       context.setLeader(context.self().instance());
       leader = Leader.start(context, initial, nowMillis);
+      members = new MembershipManager(context, leader);
       HardState won = context.hardState();
       context.updateHardState(new HardState(won.term(), won.votedFor(), true));
     }
@@ -478,8 +476,9 @@
       stepDown(nowMillis);
       return;
     }
-    if (context.settings().automaticReadmission()) {
-      reconcileMembership(nowMillis);
+    boolean isReplacing = members.completeReplacement(nowMillis);
+    if (!isReplacing && context.settings().automaticReadmission()) {
+      members.reconcile(nowMillis);
     }
     leader.tick(nowMillis);
   }
@@ -500,91 +499,6 @@
     return leader == null || leader.hasLostQuorum(nowMillis) ? Reason.NOT_LEADER : null;
   }
 
-  private Reason changeRefusal(MembershipChange change, long nowMillis) {
-    Membership members = context.membership();
-    boolean isAddition = change instanceof MembershipChange.AddLearner;
-    if (!leader.hasCommittedInTerm() || context.committed() < context.log().membershipIndex()) {
-      return Reason.CHANGE_IN_PROGRESS;
-    }
-    if (!isAddition && members.find(change.instance()).isEmpty()) {
-      return Reason.INVALID_CHANGE;
-    }
-    Membership changed = members.with(change);
-    int voters = changed.voters().size();
-    if (voters == 0 || voters > Membership.MAX_VOTERS) {
-      return Reason.INVALID_CHANGE;
-    }
-    boolean isPromotion = change instanceof MembershipChange.Promote;
-    boolean isBehind =
-        isPromotion && !leader.isCaughtUp(members.find(change.instance()).orElseThrow(), nowMillis);
-    if (isBehind) {
-      return Reason.NOT_CAUGHT_UP;
-    }
-    return leader.hasQuorumIn(changed, nowMillis) ? null : Reason.QUORUM_AT_RISK;
-  }
-
-  private void reconcileMembership(long nowMillis) {
-    for (Member member : context.membership().members()) {
-      MembershipChange change = nextChangeFor(member, nowMillis);
-      if (change != null && changeRefusal(change, nowMillis) == null) {
-        leader.append(context.membership().with(change), nowMillis);
-        return;
-      }
-    }
-    if (context.settings().targetVoters() > 0) {
-      removeUnresponsiveMember(nowMillis);
-    }
-  }
-
-  /**
-   * Removes an unresponsive voter that is in excess of the target or can be replaced by a learner,
-   * or a learner that has been unresponsive for longer.
-   *
-   * <p>A voter is removed before the learner is promoted. As long as it is unresponsive, the quorum
-   * needs the same instances without it as with it; promoted first, the learner would be needed
-   * too, and none of them could be lost until the removal is committed.
-   */
-  private void removeUnresponsiveMember(long nowMillis) {
-    int loss = context.settings().voterLossMillis();
-    int voters = context.membership().voters().size();
-    int target = context.settings().targetVoters();
-    boolean isVoterDispensable =
-        voters > target || (voters == target && hasReadyLearner(nowMillis));
-    for (Member member : context.membership().members()) {
-      boolean isRemovable =
-          member.isVoter()
-              ? isVoterDispensable && leader.isUnresponsive(member, loss, nowMillis)
-              : leader.isUnresponsive(member, LEARNER_LOSS_FACTOR * loss, nowMillis);
-      MembershipChange change = new MembershipChange.Remove(member.replica().instance());
-      if (isRemovable && changeRefusal(change, nowMillis) == null) {
-        leader.append(context.membership().with(change), nowMillis);
-        return;
-      }
-    }
-  }
-
-  private boolean hasReadyLearner(long nowMillis) {
-    return context.membership().members().stream()
-        .anyMatch(member -> !member.isVoter() && leader.isCaughtUp(member, nowMillis));
-  }
-
-  private MembershipChange nextChangeFor(Member member, long nowMillis) {
-    InstanceId instance = member.replica().instance();
-    if (member.replica().equals(context.self())) {
-      return null;
-    }
-    ReplicaId replacement = leader.replacementOf(member, nowMillis);
-    if (replacement != null) {
-      return new MembershipChange.AddLearner(replacement);
-    }
-    boolean isWanted =
-        context.settings().targetVoters() > 0
-            ? context.membership().voters().size() < context.settings().targetVoters()
-            : context.settings().initialVoters().contains(instance);
-    boolean isDue = !member.isVoter() && isWanted;
-    return isDue ? new MembershipChange.Promote(instance) : null;
-  }
-
   private void accept(LogIndex first, int count) {
     context.outbox().add(new LogAction.ProposalAccepted(first, count, context.term()));
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/Member.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/Member.java
@@ -16,7 +16,11 @@
     /** Votes in elections and counts towards the commit quorum. */
     VOTER,
     /** Receives the log, but neither votes nor counts towards the commit quorum. */
-    LEARNER
+    LEARNER,
+    /** Learner that takes the place of an outgoing voter: counts among the next voters only. */
+    INCOMING,
+    /** Voter that an incoming one replaces: counts among the former voters only. */
+    OUTGOING
   }
 
   /** Rejects missing components. */
@@ -26,12 +30,13 @@
   }
 
   /**
-   * Returns whether the member votes in elections and counts towards the commit quorum.
+   * Returns whether the member votes in elections and counts towards the commit quorum, be it among
+   * the former or the next voters of a replacement.
    *
    * @since 0.1
    */
   public boolean isVoter() {
-    return role == Role.VOTER;
+    return role != Role.LEARNER;
   }
 
   @Override
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/MembershipChange.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/MembershipChange.java
@@ -4,7 +4,8 @@
 
 /**
  * Single change of the membership. A change adds or removes at most one voter, so that every quorum
- * before the change overlaps every quorum after it.
+ * before the change overlaps every quorum after it; a replacement does both in two steps, between
+ * which a quorum of the former and one of the next voters are needed.
  *
  * @since 0.1
  */
@@ -46,4 +47,14 @@
    * @since 0.1
    */
   record Remove(InstanceId instance) implements MembershipChange {}
+
+  /**
+   * Starts to replace a voter by a learner that has caught up. The leader completes the replacement
+   * once this change is committed; the former voter stays as a learner.
+   *
+   * @param instance instance of the voter that is replaced
+   * @param successor instance of the learner that replaces it
+   * @since 0.4
+   */
+  record Replace(InstanceId instance, InstanceId successor) implements MembershipChange {}
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Election.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Election.java
@@ -124,12 +124,9 @@
     if (context.log().isEmpty()) {
       return grantedVotes.keySet().containsAll(context.settings().initialVoters());
     }
-    Membership membership = context.membership();
-    long votes =
-        membership.voters().stream()
-            .filter(voter -> voter.storage().equals(grantedVotes.get(voter.instance())))
-            .count();
-    return votes >= membership.quorum();
+    return context
+        .membership()
+        .isQuorum(voter -> voter.storage().equals(grantedVotes.get(voter.instance())));
   }
 
   private void sendVoteRequests(Term term) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
@@ -1,7 +1,6 @@
 package org.primrosegauge.core.log.impl;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -189,13 +188,7 @@
 
   /** Commits all entries that are durable on a quorum of the voters. */
   public void advanceCommit() {
-    List<Long> durable = new ArrayList<>();
-    for (ReplicaId voter : context.membership().voters()) {
-      durable.add(durableIndex(voter));
-    }
-    durable.sort(Collections.reverseOrder());
-    int quorum = context.membership().quorum();
-    long index = durable.size() < quorum ? 0 : durable.get(quorum - 1);
+    long index = context.membership().highestOfQuorum(this::durableIndex).orElse(0);
     if (index > context.committed() && context.term().equals(context.log().termAt(index))) {
       for (long at = context.committed() + 1; at <= index; at++) {
         uncommittedBytes -= at < termStartIndex ? 0 : context.log().entry(at).sizeBytes();
@@ -216,12 +209,10 @@
    * Returns whether a quorum of a membership has replied recently and holds all committed entries.
    */
   public boolean hasQuorumIn(Membership membership, long nowMillis) {
-    long caughtUp =
-        membership.members().stream()
-            .filter(Member::isVoter)
-            .filter(voter -> voter.replica().equals(context.self()) || isCaughtUp(voter, nowMillis))
-            .count();
-    return caughtUp >= membership.quorum();
+    return membership.isQuorum(
+        voter ->
+            voter.equals(context.self())
+                || isCaughtUp(membership.find(voter.instance()).orElseThrow(), nowMillis));
   }
 
   /**
@@ -276,13 +267,10 @@
   }
 
   private long quorumContactMillis(long nowMillis) {
-    List<Long> contacts = new ArrayList<>();
-    for (ReplicaId voter : context.membership().voters()) {
-      contacts.add(contactMillis(voter, nowMillis));
-    }
-    contacts.sort(Collections.reverseOrder());
-    int quorum = context.membership().quorum();
-    return contacts.size() < quorum ? FollowerProgress.NEVER : contacts.get(quorum - 1);
+    return context
+        .membership()
+        .highestOfQuorum(voter -> contactMillis(voter, nowMillis))
+        .orElse(FollowerProgress.NEVER);
   }
 
   private long contactMillis(ReplicaId voter, long nowMillis) {
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogInvariants.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogInvariants.java
@@ -45,13 +45,9 @@
 
   /** Checks that an entry is durable on a quorum of the voters when it is committed. */
   void checkDurableOnQuorum(LogEntry entry, Membership members, List<RecoveredLog> disks) {
-    long holders =
-        members.voters().stream()
-            .filter(voter -> disks.stream().anyMatch(disk -> holds(disk, voter, entry)))
-            .count();
-    assertWithMessage("voters that hold %s", entry.index())
-        .that(holders)
-        .isAtLeast((long) members.quorum());
+    assertWithMessage("voters of %s that hold %s are a quorum", members, entry.index())
+        .that(members.isQuorum(voter -> disks.stream().anyMatch(disk -> holds(disk, voter, entry))))
+        .isTrue();
   }
 
   private static boolean holds(RecoveredLog disk, ReplicaId voter, LogEntry entry) {
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplicaTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplicaTest.java
@@ -41,6 +41,7 @@
             Tuple.of(4, Kind.ADD_LEARNER),
             Tuple.of(4, Kind.PROMOTE),
             Tuple.of(2, Kind.REMOVE),
+            Tuple.of(4, Kind.REPLACE),
             Tuple.of(2, Kind.LOSS));
     Arbitrary<Integer> numbers = Arbitraries.integers().between(0, 99);
     return Combinators.combine(kinds, numbers, numbers, numbers)
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
@@ -136,6 +136,7 @@
       case ADD_LEARNER -> proposeChange(new MembershipChange.AddLearner(replicaId(node)));
       case PROMOTE -> proposeChange(new MembershipChange.Promote(node.id));
       case REMOVE -> proposeChange(new MembershipChange.Remove(node.id));
+      case REPLACE -> proposeChange(new MembershipChange.Replace(node.id, other.id));
       case LOSS -> lossPercent = step.amount() % 40;
       default -> throw new IllegalStateException("unknown step " + step);
     }
@@ -359,9 +360,10 @@
   }
 
   private boolean hasIntactQuorum(Membership members, Node lost) {
-    long intact =
-        nodes.stream().filter(node -> node != lost && members.isVoter(replicaId(node))).count();
-    return members.members().isEmpty() || intact >= members.quorum();
+    return members.members().isEmpty()
+        || members.isQuorum(
+            voter ->
+                nodes.stream().anyMatch(node -> node != lost && replicaId(node).equals(voter)));
   }
 
   private void proposeChange(MembershipChange change) {
@@ -383,6 +385,10 @@
     boolean isKnown =
         change instanceof MembershipChange.AddLearner
             || members.find(change.instance()).isPresent();
+    if (change instanceof MembershipChange.Replace replacement
+        && members.find(replacement.successor()).isEmpty()) {
+      return false;
+    }
     return isKnown && hasIntactQuorum(members.with(change), null);
   }
 
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogStep.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogStep.java
@@ -27,6 +27,7 @@
     ADD_LEARNER,
     PROMOTE,
     REMOVE,
+    REPLACE,
     LOSS
   }
 }
