--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -143,12 +143,7 @@
    * @since 0.4
    */
   public boolean needsAdmission() {
-    boolean isMember =
-        membership()
-            .find(id().instance())
-            .map(member -> member.replica().equals(id()))
-            .orElse(false);
-    return !isMember || (!isLeader() && leader().isEmpty());
+    return !membership().contains(id()) || (!isLeader() && leader().isEmpty());
   }
 
   /**
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/Membership.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/Membership.java
@@ -40,6 +40,15 @@
     return members.stream().filter(m -> m.replica().instance().equals(instance)).findFirst();
   }
 
+  /**
+   * Returns whether this replica, with this data folder, is a member.
+   *
+   * @since 0.4
+   */
+  public boolean contains(ReplicaId replica) {
+    return members.stream().anyMatch(member -> member.replica().equals(replica));
+  }
+
   /**
    * Returns whether this replica, with this data folder, is a voter.
    *
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
@@ -205,17 +205,12 @@
         });
   }
 
-  private static boolean isMember(Node node, ReplicaId replica) {
-    return node.replica.membership().members().stream()
-        .anyMatch(member -> member.replica().equals(replica));
-  }
-
   private void admit(Node asking, Node other, ReplicaId replica) {
     boolean isHeard =
         other.replica != null
             && other.frozenUntil <= now
             && !cutLinks.contains(new Link(asking.number, other.number));
-    if (isHeard && other.replica.isLeader() && !isMember(other, replica)) {
+    if (isHeard && other.replica.isLeader() && !other.replica.membership().contains(replica)) {
       MembershipChange change = new MembershipChange.AddLearner(replica);
       perform(other, other.replica.changeMembership(change, other.nowMillis()));
     }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
@@ -14,7 +14,6 @@
 import org.primrosegauge.core.StorageException;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.log.LogEntry;
-import org.primrosegauge.core.log.Member;
 import org.primrosegauge.core.log.MembershipChange;
 import org.primrosegauge.core.log.ReplicaId;
 import org.primrosegauge.core.log.cfg.LogSettings;
@@ -398,10 +397,7 @@
     log.duty()
         .offer(
             () -> {
-              Optional<Member> known = log.membership().find(join.replica().instance());
-              boolean isMember =
-                  known.map(member -> member.replica().equals(join.replica())).orElse(false);
-              if (log.isLeader() && !isMember) {
+              if (log.isLeader() && !log.membership().contains(join.replica())) {
                 log.changeMembership(new MembershipChange.AddLearner(join.replica()));
               }
             });
