Whatever a request may hold can be replicated; what cannot is refused with 413

Cause: the largest request (4 MiB), the largest entry of the log (no limit) and the largest frame between instances (4 MiB) had nothing to do with each other. The entry of a configuration held it parsed and as text, so that it was larger than the request. The leader appended it and sent it for ever; each follower closed the connection. The request from an entry instance to the leader held both forms, too.

Change: entry and request hold the text alone, and each replica parses it when it applies the entry (entries of earlier releases are read as before). LogEntry.MAX_COMMAND_BYTES bounds an entry, and the frame is derived from it. A larger command is refused before it is appended, at the request (ScopeRefusal.TOO_LARGE, counted, 413 with a reason) and in LogReplica.propose for everything else. A message larger than a frame is not written, but counted, and its sender is told. Why it works: the 4 MiB of a request plus names are less than an entry may have, and an entry plus its envelope less than a frame.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogAction.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogAction.java
@@ -120,6 +120,8 @@
       NOT_LEADER,
       /** The size of the uncommitted entries has reached its limit. */
       OVERLOADED,
+      /** A command is larger than {@link LogEntry#MAX_COMMAND_BYTES}. */
+      TOO_LARGE,
       /** An earlier membership change, or the first entry of the term, is not committed yet. */
       CHANGE_IN_PROGRESS,
       /** The learner has not caught up. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogEntry.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogEntry.java
@@ -19,6 +19,14 @@
 public record LogEntry(
     LogIndex index, Term term, long logMillis, Membership membership, byte[] command) {
 
+  /**
+   * Largest command of an entry, in bytes: the text of the largest configuration, and its names. A
+   * message between replicas has room for one such entry.
+   *
+   * @since 0.4
+   */
+  public static final int MAX_COMMAND_BYTES = 4 * 1024 * 1024 + 64 * 1024;
+
   /** Assumed size of an entry without its command, in bytes. Used for flow control. */
   private static final int OVERHEAD_BYTES = 48;
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -202,14 +202,17 @@
   }
 
   /**
-   * Proposes commands. Either all of them are appended or all are rejected.
+   * Proposes commands. Either all of them are appended or all are rejected, as they are if one of
+   * them has more than {@link LogEntry#MAX_COMMAND_BYTES}, which could not be replicated.
    *
    * @param commands at least one command; none may be empty
    * @since 0.1
    */
   public List<LogAction> propose(List<byte[]> commands, long nowMillis) {
     Reason refusal = leadershipRefusal(nowMillis);
-    if (refusal == null && leader.isOverloaded()) {
+    if (commands.stream().anyMatch(command -> command.length > LogEntry.MAX_COMMAND_BYTES)) {
+      refusal = Reason.TOO_LARGE;
+    } else if (refusal == null && leader.isOverloaded()) {
       refusal = Reason.OVERLOADED;
     }
     if (refusal != null) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeCommand.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeCommand.java
@@ -14,7 +14,8 @@
   /**
    * Puts a configuration in force if its revision is higher than that of the current one.
    *
-   * @param configuration parsed configuration
+   * @param configuration parsed configuration; null in an entry of the log, which holds the text
+   *     only
    * @param content text of the configuration as submitted by the operators, returned on reads
    * @since 0.2
    */
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplicaRulesTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogReplicaRulesTest.java
@@ -47,6 +47,26 @@
     return new LogReplica(SETTINGS, recovered, new SplittableRandom(1), 0);
   }
 
+  /** An entry that no message between replicas has room for stopped the log for ever. */
+  @ParameterizedTest
+  @CsvSource({"0, true", "1, false"})
+  void commandIsAppendedOnlyIfItCanBeReplicated(int excessBytes, boolean appended) {
+    LogReplica replica = replica();
+    long now = SETTINGS.electionMaxMillis();
+    elect(replica, now, new ArrayList<>());
+    long last = replica.lastIndex().number();
+    byte[] command = new byte[LogEntry.MAX_COMMAND_BYTES + excessBytes];
+    List<LogAction> actions = replica.propose(command, now);
+    boolean isTooLarge =
+        actions.stream()
+            .anyMatch(
+                action ->
+                    action instanceof LogAction.ProposalRefused refused
+                        && refused.reason() == LogAction.ProposalRefused.Reason.TOO_LARGE);
+    assertThat(isTooLarge).isEqualTo(!appended);
+    assertThat(replica.lastIndex().number()).isEqualTo(appended ? last + 1 : last);
+  }
+
   @Test
   void restartedReplicaIgnoresVoteRequestsForOneElectionTimeout() {
     LogReplica replica = replica();
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -282,8 +282,9 @@
    * Proposes a command on this replica.
    *
    * @return the result once the command is committed and applied; an error of kind UNAVAILABLE if
-   *     nothing was proposed, or OUTCOME_UNKNOWN if leadership was lost before the command was
-   *     applied
+   *     nothing was proposed, of kind OVER_LIMIT if the command has more than {@link
+   *     LogEntry#MAX_COMMAND_BYTES}, or OUTCOME_UNKNOWN if leadership was lost before the command
+   *     was applied
    * @since 0.2
    */
   public Mono<R> propose(byte[] command) {
@@ -415,7 +416,8 @@
       MonoSink<R> sink = submittedProposals.remove(0);
       LOG.debug("proposal rejected: {}", refused.reason());
       if (sink != null) {
-        sink.error(notLeader());
+        boolean isTooLarge = refused.reason() == LogAction.ProposalRefused.Reason.TOO_LARGE;
+        sink.error(isTooLarge ? tooLarge() : notLeader());
       }
     }
   }
@@ -584,6 +586,14 @@
         "");
   }
 
+  private static PrimrosegaugeException tooLarge() {
+    return new PrimrosegaugeException(
+        ErrorKind.OVER_LIMIT,
+        "the request is larger than an entry of the log may be",
+        "send a smaller request",
+        "");
+  }
+
   static PrimrosegaugeException outcomeUnknown() {
     return new PrimrosegaugeException(
         ErrorKind.OUTCOME_UNKNOWN,
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/LeaderRequest.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/LeaderRequest.java
@@ -192,6 +192,11 @@
   }
 
   private void failed(InstanceId instance, Throwable error) {
+    if (ScopeReplica.isTooLarge(error)) {
+      clearInFlight(instance, false);
+      complete(new ScopeMessage.Refused(ScopeRefusal.TOO_LARGE));
+      return;
+    }
     clearInFlight(instance, !ScopeReplica.isUnavailable(error));
     tracker.instanceFailed(instance);
     scheduleRetry();
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
@@ -5,6 +5,7 @@
 import net.logstash.logback.argument.StructuredArgument;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.Term;
+import org.primrosegauge.core.log.LogEntry;
 import org.primrosegauge.core.scope.QueueSpec;
 import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeConfiguration;
@@ -143,6 +144,23 @@
         address.path());
   }
 
+  /**
+   * Logs and counts a command that was refused because of its size.
+   *
+   * @param bytes size of the command, in bytes
+   * @since 0.4
+   */
+  public void tooLarge(ScopeCommand command, int bytes) {
+    metrics.refused("scope", ScopeRefusal.TOO_LARGE);
+    LOG.info(
+        "{} {} command={} bytes={} max_bytes={}",
+        field("event", "REFUSED"),
+        field("reason", ScopeRefusal.TOO_LARGE),
+        command.getClass().getSimpleName(),
+        bytes,
+        LogEntry.MAX_COMMAND_BYTES);
+  }
+
   /**
    * Logs a change of the leader.
    *
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeInstance.java
@@ -61,6 +61,7 @@
   private final NodeMetrics metrics = new NodeMetrics();
   private final ScopeEventLog events = new ScopeEventLog(metrics);
   private final ScopeMetrics scopeMetrics = new ScopeMetrics(metrics);
+  private final ConfigurationParser configurations;
   private final PeerTransport transport;
   private final ScopeClient client;
 
@@ -77,6 +78,7 @@
    *
    * @param startedMillis when the process started, in milliseconds of the monotonic clock
    * @param workers client of the workers; used while this instance leads
+   * @param configurations parser of the configurations
    * @param onStorageFailure called when the storage is unusable until an operator intervenes; the
    *     process must then terminate. If only an operation failed, such as on a full disk, the
    *     instance continues without its replica until the storage accepts writes again
@@ -87,9 +89,11 @@
       ScopeNodeSettings settings,
       long startedMillis,
       WorkerClient workers,
+      ConfigurationParser configurations,
       Consumer<StorageException> onStorageFailure)
       throws StorageException {
     this.settings = settings;
+    this.configurations = configurations;
     this.startedMillis = startedMillis;
     this.transport =
         new PeerTransport(
@@ -159,6 +163,7 @@
             System::currentTimeMillis,
             transport,
             workers,
+            configurations,
             events,
             scopeMetrics,
             onStorageFailure));
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeMessage.java
@@ -4,11 +4,11 @@
 import java.util.Objects;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.InstanceId;
+import org.primrosegauge.core.Revision;
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.log.ReplicaId;
 import org.primrosegauge.core.scope.JobStatus;
-import org.primrosegauge.core.scope.ScopeConfiguration;
 import org.primrosegauge.core.scope.WorkerHeartbeat;
 
 /**
@@ -88,10 +88,17 @@
   /**
    * Puts a configuration into effect.
    *
-   * @param configuration configuration
+   * @param revision revision of the configuration
    * @param content text of the configuration as the operator sent it
    */
-  record Configure(ScopeConfiguration configuration, String content) implements Question {}
+  record Configure(Revision revision, String content) implements Question {
+
+    /** Checks that the components are present. */
+    public Configure {
+      Objects.requireNonNull(revision, "revision");
+      Objects.requireNonNull(content, "content");
+    }
+  }
 
   /** Asks for the configuration in effect. */
   record AskConfiguration() implements Read {}
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
@@ -18,6 +18,8 @@
   BAD_ID,
   /** The leader is overloaded; the call was not executed. */
   OVERLOADED,
+  /** The request is larger than an entry of the log may be, and was not executed. */
+  TOO_LARGE,
   /** The backlog is so long that the job would start too late for its result to be of use. */
   BACKLOG,
   /** A newer order for the same failure domain was accepted while this one was in transit. */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
@@ -22,6 +22,7 @@
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.ScopeAdmission;
 import org.primrosegauge.core.scope.ScopeCommand;
+import org.primrosegauge.core.scope.ScopeConfiguration;
 import org.primrosegauge.core.scope.ScopeJob;
 import org.primrosegauge.core.scope.ScopeLedger;
 import org.primrosegauge.core.scope.ScopeResult;
@@ -65,6 +66,7 @@
   private final ScopeLedger ledger;
   private final ScopeScheduler scheduler;
   private final SchedulerRunner schedulerRunner;
+  private final ConfigurationParser configurations;
   private final CallAuthorizer authorizer;
   private final ReplicatedLog<ScopeResult> log;
   private final ProposedJobs proposedJobs = new ProposedJobs();
@@ -80,6 +82,7 @@
    * @param wallClock wall clock, in milliseconds since 1970
    * @param transport connections to other instances
    * @param workers client of the workers
+   * @param configurations parser of the configurations
    * @param events log of scheduling decisions
    * @param metrics latencies and queue lengths
    * @param onStorageFailure called once when the storage becomes unusable
@@ -92,6 +95,7 @@
       MonotonicClock wallClock,
       PeerTransport transport,
       WorkerClient workers,
+      ConfigurationParser configurations,
       ScopeEventLog events,
       ScopeMetrics metrics,
       Consumer<StorageException> onStorageFailure) {}
@@ -117,6 +121,7 @@
     this.metrics = dependencies.metrics();
     this.ledger = ledger;
     this.scheduler = scheduler;
+    this.configurations = dependencies.configurations();
     this.authorizer = new CallAuthorizer(ledger);
     this.log =
         new ReplicatedLog<>(
@@ -303,7 +308,9 @@
       return Mono.just(new ScopeMessage.Refused(ScopeRefusal.BACKLOG, retryAfter.getAsLong()));
     }
     proposedJobs.proposed(job.id());
-    return propose(new ScopeCommand.Submit(job)).doOnError(error -> proposalFailed(job.id()));
+    return propose(new ScopeCommand.Submit(job))
+        .doOnNext(answer -> forgetIfRefused(job.id(), answer))
+        .doOnError(error -> proposalFailed(job.id()));
   }
 
   /**
@@ -318,6 +325,12 @@
     }
   }
 
+  private void forgetIfRefused(JobId job, Answer answer) {
+    if (answer instanceof ScopeMessage.Refused) {
+      proposalFailed(job);
+    }
+  }
+
   private Answer shed(LoadShedding.ShedReason reason, CallerAddress address) {
     metrics.recordShed(reason);
     events.refused(ScopeRefusal.OVERLOADED, address);
@@ -350,18 +363,15 @@
   }
 
   private Mono<Answer> configure(ScopeMessage.Configure configure) {
-    boolean isNewer =
-        configure.configuration().revision().compareTo(ledger.configuration().revision()) > 0;
+    boolean isNewer = configure.revision().compareTo(ledger.configuration().revision()) > 0;
     events.operatorOrder(
         "configuration",
-        "revision="
-            + configure.configuration().revision()
-            + " in_force="
-            + ledger.configuration().revision());
+        "revision=" + configure.revision() + " in_force=" + ledger.configuration().revision());
     if (!isNewer) {
       return Mono.just(new ScopeMessage.Done());
     }
-    return propose(new ScopeCommand.Configure(configure.configuration(), configure.content()));
+    // The text alone: with the parsed form beside it an entry would be larger than the request.
+    return propose(new ScopeCommand.Configure(null, configure.content()));
   }
 
   private Mono<Answer> switchDomain(ScopeMessage.SwitchDomain order) {
@@ -391,7 +401,12 @@
   }
 
   private Mono<Answer> propose(ScopeCommand command) {
-    return log.propose(codec.write(command)).map(result -> new ScopeMessage.Done());
+    byte[] bytes = codec.write(command);
+    if (bytes.length > LogEntry.MAX_COMMAND_BYTES) {
+      events.tooLarge(command, bytes.length);
+      return Mono.just(new ScopeMessage.Refused(ScopeRefusal.TOO_LARGE));
+    }
+    return log.propose(bytes).map(result -> new ScopeMessage.Done());
   }
 
   private void admit(ScopeMessage.Join join) {
@@ -412,7 +427,7 @@
 
     @Override
     public ScopeResult apply(LogEntry entry) throws WireException {
-      ScopeCommand command = codec.read(entry.command(), ScopeCommand.class);
+      ScopeCommand command = read(entry.command());
       boolean isLeading = schedulerRunner.isLeading();
       if (isLeading) {
         metrics.beforeApply(command, ledger);
@@ -429,6 +444,23 @@
       return result;
     }
 
+    private ScopeCommand read(byte[] bytes) throws WireException {
+      ScopeCommand command = codec.read(bytes, ScopeCommand.class);
+      // Entries of earlier releases hold the parsed configuration beside its text.
+      return command instanceof ScopeCommand.Configure text && text.configuration() == null
+          ? new ScopeCommand.Configure(parse(text.content()), text.content())
+          : command;
+    }
+
+    private ScopeConfiguration parse(String content) throws WireException {
+      try {
+        return configurations.parse(content);
+      } catch (InvalidInputException e) {
+        throw new WireException(
+            "configuration cannot be parsed", "run the same release on all instances", e);
+      }
+    }
+
     @Override
     public Supplier<byte[]> snapshot() {
       ScopeSnapshot state = ledger.snapshot();
@@ -473,6 +505,11 @@
     }
   }
 
+  /** Returns whether an error means that the request is too large to be sent to the leader. */
+  static boolean isTooLarge(Throwable error) {
+    return error instanceof PrimrosegaugeException known && known.kind() == ErrorKind.OVER_LIMIT;
+  }
+
   /** Returns whether an error means that the request was not executed. */
   static boolean isUnavailable(Throwable error) {
     return error instanceof PrimrosegaugeException known && known.kind() == ErrorKind.UNAVAILABLE;
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/transport/PeerTransport.java
@@ -22,6 +22,7 @@
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.log.LogEntry;
 import org.primrosegauge.node.metrics.NodeMetrics;
 import org.primrosegauge.wire.Frame;
 import org.primrosegauge.wire.FrameCodec;
@@ -49,8 +50,14 @@
  */
 public final class PeerTransport implements AutoCloseable {
 
-  /** Largest frame, in bytes; a longer one closes the connection before memory is allocated. */
-  public static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+  /** Room in a frame for what surrounds the largest entry of the log, in bytes. */
+  private static final int ENVELOPE_BYTES = 64 * 1024;
+
+  /**
+   * Largest frame, in bytes; a longer one is not written, and closes the connection before memory
+   * is allocated if it arrives. An entry of the log of any size that is accepted fits.
+   */
+  public static final int MAX_FRAME_BYTES = LogEntry.MAX_COMMAND_BYTES + ENVELOPE_BYTES;
 
   static final int LENGTH_BYTES = 4;
 
@@ -64,6 +71,8 @@
     PEER_UNREACHABLE,
     /** A frame was dropped because too many are in flight. */
     TOO_MANY_IN_FLIGHT,
+    /** A message was not written because its frame would be too large. */
+    FRAME_TOO_LARGE,
     /** A message arrived that no part of the instance handles. */
     NO_HANDLER,
     /** A reply arrived after its question was given up. */
@@ -260,7 +269,8 @@
    *
    * @param replyType type of the reply
    * @param timeout longest wait
-   * @return the reply; an error of kind UNAVAILABLE when the message was not sent, and of kind
+   * @return the reply; an error of kind UNAVAILABLE when the message was not sent, of kind
+   *     OVER_LIMIT when it never can be because its frame would be too large, and of kind
    *     OUTCOME_UNKNOWN when no reply came in time
    * @since 0.1
    */
@@ -274,10 +284,10 @@
           return Mono.<Object>create(
                   sink -> {
                     waiting.put(correlation, sink);
-                    boolean written =
-                        write(to, new Frame(self, Frame.Purpose.ASK, correlation, message));
-                    if (!written) {
-                      sink.error(unreachable(to));
+                    switch (write(to, new Frame(self, Frame.Purpose.ASK, correlation, message))) {
+                      case NOT_SENT -> sink.error(unreachable(to));
+                      case TOO_LARGE -> sink.error(tooLarge());
+                      default -> {}
                     }
                   })
               .timeout(timeout, Mono.error(() -> unanswered(to)))
@@ -288,19 +298,39 @@
 
   // Internals
 
-  private boolean write(InstanceId to, Frame frame) {
+  /** What became of a frame that was to be written. */
+  private enum WriteResult {
+    WRITTEN,
+    NOT_SENT,
+    TOO_LARGE
+  }
+
+  private WriteResult write(InstanceId to, Frame frame) {
     PeerLink link = linkTo(to);
     if (link == null || !link.isConnected()) {
       metrics.count("primrosegauge.transport", "peer", TransportEvent.PEER_UNREACHABLE);
-      return false;
+      return WriteResult.NOT_SENT;
     }
     byte[] bytes = codec.encode(frame);
+    if (isTooLarge(bytes)) {
+      return WriteResult.TOO_LARGE;
+    }
     if (!link.write(bytes)) {
       metrics.count("primrosegauge.transport", "peer", TransportEvent.TOO_MANY_IN_FLIGHT);
-      return false;
+      return WriteResult.NOT_SENT;
     }
     bytesSent.addAndGet(bytes.length + LENGTH_BYTES);
-    return true;
+    return WriteResult.WRITTEN;
+  }
+
+  /** Returns whether a frame is too large for the peer to read, and counts it if so. */
+  private boolean isTooLarge(byte[] frame) {
+    boolean isTooLarge = frame.length + LENGTH_BYTES > MAX_FRAME_BYTES;
+    if (isTooLarge) {
+      metrics.count("primrosegauge.transport", "peer", TransportEvent.FRAME_TOO_LARGE);
+      LOG.warn("message of {} bytes is not sent, a frame has {}", frame.length, MAX_FRAME_BYTES);
+    }
+    return isTooLarge;
   }
 
   private PeerLink linkTo(InstanceId peer) {
@@ -394,6 +424,9 @@
             body -> {
               byte[] bytes =
                   codec.encode(new Frame(self, Frame.Purpose.REPLY, frame.correlation(), body));
+              if (isTooLarge(bytes)) {
+                return;
+              }
               bytesSent.addAndGet(bytes.length + LENGTH_BYTES);
               channel.writeAndFlush(Unpooled.wrappedBuffer(bytes));
             },
@@ -435,6 +468,14 @@
         "");
   }
 
+  private static PrimrosegaugeException tooLarge() {
+    return new PrimrosegaugeException(
+        ErrorKind.OVER_LIMIT,
+        "the message is larger than a frame between instances",
+        "send a smaller request",
+        "");
+  }
+
   private static PrimrosegaugeException unreachable(InstanceId peer) {
     return new PrimrosegaugeException(
         ErrorKind.UNAVAILABLE,
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/TestDependencies.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/TestDependencies.java
@@ -3,6 +3,7 @@
 import java.util.Random;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.log.LogMessage;
+import org.primrosegauge.core.scope.ScopeConfiguration;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.log.LogStorage;
 import org.primrosegauge.node.metrics.NodeMetrics;
@@ -19,6 +20,16 @@
   /** Returns dependencies that use the same clock as monotonic clock and as wall clock. */
   static ScopeReplica.Dependencies singleInstance(
       InstanceId self, LogStorage storage, MonotonicClock clock, WorkerClient workers) {
+    return singleInstance(self, storage, clock, workers, content -> ScopeConfiguration.NONE);
+  }
+
+  /** Returns dependencies with a parser of configurations. */
+  static ScopeReplica.Dependencies singleInstance(
+      InstanceId self,
+      LogStorage storage,
+      MonotonicClock clock,
+      WorkerClient workers,
+      ConfigurationParser configurations) {
     NodeMetrics metrics = new NodeMetrics();
     FrameCodec frames =
         new FrameCodec(MessageTypes.builder().family("log", LogMessage.class).build());
@@ -29,6 +40,7 @@
         clock,
         new PeerTransport(self, frames, metrics, PeerSecurity.NONE),
         workers,
+        configurations,
         new ScopeEventLog(metrics),
         new ScopeMetrics(metrics),
         failure -> {
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/transport/PeerTransportTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/transport/PeerTransportTest.java
@@ -17,6 +17,7 @@
 import org.primrosegauge.core.ErrorKind;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.core.PrimrosegaugeException;
+import org.primrosegauge.core.log.LogEntry;
 import org.primrosegauge.node.metrics.NodeMetrics;
 import org.primrosegauge.wire.FrameCodec;
 import org.primrosegauge.wire.MessageTypes;
@@ -81,6 +82,22 @@
         .isEqualTo(ErrorKind.UNAVAILABLE);
   }
 
+  /** The peer closed the connection, and the question was sent again for ever. */
+  @Test
+  void questionLargerThanFrameIsRefusedAndTheConnectionStands() throws Exception {
+    PeerTransport peer = transport(PEER);
+    peer.onAsk(Note.class, (from, note) -> Mono.just(note));
+    peer.start(HOST, 0);
+    PeerTransport asker = transport(ASKER);
+    asker.connect(new PeerAddress(PEER, HOST, peer.port()));
+    awaitConnection(asker);
+    Duration wait = Duration.ofSeconds(PATIENCE_SECONDS);
+    Note large = new Note("x".repeat(PeerTransport.MAX_FRAME_BYTES));
+    assertThat(kindOf(asker.ask(PEER, large, Note.class, wait))).isEqualTo(ErrorKind.OVER_LIMIT);
+    Note fitting = new Note("x".repeat(LogEntry.MAX_COMMAND_BYTES));
+    assertThat(asker.ask(PEER, fitting, Note.class, wait).block().equals(fitting)).isTrue();
+  }
+
   @Test
   void resolverOpensConnectionOnDemand() throws Exception {
     PeerTransport peer = transport(PEER);
