--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/JournalRecovery.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/JournalRecovery.java
@@ -155,6 +155,8 @@
   }
 
   private void removeUnused(Segment first) throws IOException {
+    // A process that was killed may not have synced the names that replace what is deleted here.
+    folder.sync();
     String snapshot =
         first.start().snapshotIndex().number() > 0 ? JournalNames.snapshot(first.start()) : "";
     for (String name : folder.list()) {
