An instance whose data folder could not be created at its start creates it later

If that failed at the start of the process (full or faulty disk), the check whether the storage takes writes again failed too, for a folder that does not exist, and the lock came only after the check. Besides, the name of the folder was synced only by the call that created it, never by one after a kill or a failed sync.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/StdJournalFolder.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/journal/impl/StdJournalFolder.java
@@ -34,10 +34,7 @@
 
   @Override
   public AutoCloseable lock() throws IOException {
-    if (!Files.isDirectory(folder)) {
-      Files.createDirectories(folder);
-      syncFolder(folder.getParent());
-    }
+    create();
     FileChannel channel =
         FileChannel.open(
             folder.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
@@ -48,6 +45,14 @@
     return channel;
   }
 
+  /**
+   * Creates the folder; its name is synced each time, since a killed process may not have done so.
+   */
+  private void create() throws IOException {
+    Files.createDirectories(folder);
+    syncFolder(folder.getParent());
+  }
+
   private static FileLock tryLock(FileChannel channel) throws IOException {
     try {
       return channel.tryLock();
@@ -74,6 +79,9 @@
 
   @Override
   public JournalFile open(String name) throws IOException {
+    if (!Files.isDirectory(folder)) {
+      create();
+    }
     FileChannel channel =
         FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
     channel.position(channel.size());
