A leader that was suspended confirms its lease before it answers

Cause: the lease is reckoned on a clock that a suspension of the machine stops.

Change: where the wall clock has moved on by 0.1 s more than the monotonic one, the lease ends until a quorum has replied to a later message; a heartbeat is sent at once. Time-outs stay on the monotonic clock. A step of the wall clock forward costs one confirmation.

Evidence: SuspendedLeaderTest, three replicas over loopback whose clocks are set by the test, failed before (revision 1 was read although 2 had been confirmed), passes now. Orders to workers are refused by their term, as before; the check does not come before each of them.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/LogReplica.java
@@ -146,6 +146,18 @@
     return !membership().contains(id()) || (!isLeader() && leader().isEmpty());
   }
 
+  /**
+   * Reports that the machine was suspended for a time that the monotonic clock did not count. The
+   * lease of a leader ends; it is valid again once a quorum has replied to a later message.
+   *
+   * @since 0.4
+   */
+  public void suspended(long nowMillis) {
+    if (leader != null) {
+      leader.suspended(nowMillis);
+    }
+  }
+
   /**
    * Returns the index that must be applied before a linearizable read is served. Empty unless this
    * replica leads under a valid lease.
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/Leader.java
@@ -34,6 +34,7 @@
   private final long termStartIndex;
   private long nextHeartbeatMillis;
   private long uncommittedBytes;
+  private long suspendedMillis = Long.MIN_VALUE;
 
   private Leader(ReplicaContext context, long nowMillis) {
     this.context = context;
@@ -85,7 +86,15 @@
    * candidates.
    */
   public boolean hasLease(long nowMillis) {
-    return nowMillis < quorumContactMillis(nowMillis) + context.settings().leaseMillis();
+    long contactMillis = quorumContactMillis(nowMillis);
+    return contactMillis > suspendedMillis
+        && nowMillis < contactMillis + context.settings().leaseMillis();
+  }
+
+  /** Ends the lease until a quorum has replied to a message that is sent later. */
+  public void suspended(long nowMillis) {
+    suspendedMillis = nowMillis;
+    nextHeartbeatMillis = nowMillis;
   }
 
   /**
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/log/ReplicatedLog.java
@@ -241,6 +241,15 @@
     return replica.needsAdmission();
   }
 
+  /**
+   * Reports that the machine was suspended for a time that the monotonic clock did not count.
+   *
+   * @since 0.4
+   */
+  public void suspended(long nowMillis) {
+    replica.suspended(nowMillis);
+  }
+
   /**
    * Returns whether this replica leads under a valid lease and has applied all committed entries,
    * so that it can serve linearizable reads.
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
@@ -29,6 +29,7 @@
 import org.primrosegauge.core.scope.ScopeSnapshot;
 import org.primrosegauge.core.scope.WorkerHeartbeat;
 import org.primrosegauge.node.duty.MonotonicClock;
+import org.primrosegauge.node.duty.SuspensionDetector;
 import org.primrosegauge.node.log.LogStorage;
 import org.primrosegauge.node.log.PolymorphicCodec;
 import org.primrosegauge.node.log.ReplicatedLog;
@@ -68,6 +69,7 @@
   private final ConfigurationParser configurations;
   private final CallAuthorizer authorizer;
   private final ReplicatedLog<ScopeResult> log;
+  private final SuspensionDetector suspensions = new SuspensionDetector();
   private final ProposedJobs proposedJobs = new ProposedJobs();
 
   private final DomainOrderSequence domainOrders = new DomainOrderSequence();
@@ -232,7 +234,17 @@
     return log.id().instance().equals(known) ? null : known;
   }
 
+  /** Ends the lease after a suspension, which its clock does not count but those of others do. */
+  private void endLeaseIfSuspended() {
+    long nowMillis = clock.nowMillis();
+    if (suspensions.wasSuspended(nowMillis, wallClock.nowMillis())) {
+      LOG.warn("the machine was suspended or its wall clock was set forward; confirming the lease");
+      log.suspended(nowMillis);
+    }
+  }
+
   private Mono<Answer> respond(Question request, boolean isStale) throws InvalidInputException {
+    endLeaseIfSuspended();
     boolean isLeading = schedulerRunner.isLeading() && log.isAuthoritative(clock.nowMillis());
     if (request instanceof ScopeMessage.AskLeader) {
       List<InstanceId> members =
@@ -484,6 +496,7 @@
 
     @Override
     public void tick(long nowMillis) {
+      endLeaseIfSuspended();
       schedulerRunner.startLeadingIfDue();
       schedulerRunner.run(EventKind.TICK, ScopeScheduler::tick);
       schedulerRunner.reportLoad(nowMillis, log.duty()::takeLoad);
