--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
@@ -61,7 +61,7 @@
     final int number;
     final InstanceId id;
     final double clockRate;
-    final long clockOffset;
+    long clockOffset;
     SimulatedDisk disk;
     LogReplica replica;
     SimulatedRegistry registry;
@@ -279,6 +279,18 @@
     nodes.get(number).frozenUntil = now + millis;
   }
 
+  /**
+   * Suspends the machine of an instance for a period that its clock does not count, as that of a
+   * suspended machine does not.
+   */
+  void suspendAt(int number, long millis) {
+    Node node = nodes.get(number);
+    if (node.frozenUntil <= now) {
+      node.frozenUntil = now + millis;
+      at(now + millis - 1, () -> node.clockOffset -= (long) (millis * node.clockRate));
+    }
+  }
+
   /** Returns the numbers of the running instances that are or consider themselves leader. */
   List<Integer> leaders() {
     return nodes.stream()
