--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogSimulation.java
@@ -282,7 +282,15 @@
     Node node = nodes.get(number);
     if (node.frozenUntil <= now) {
       node.frozenUntil = now + millis;
-      at(now + millis - 1, () -> node.clockOffset -= (long) (millis * node.clockRate));
+      at(now + millis - 1, () -> wake(node, millis));
+    }
+  }
+
+  /** Sets the clock back and reports the suspension, which a process sees by its wall clock. */
+  private void wake(Node node, long suspendedMillis) {
+    node.clockOffset -= (long) (suspendedMillis * node.clockRate);
+    if (node.replica != null) {
+      node.replica.suspended(node.nowMillis());
     }
   }
 
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/SilentVoterTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/SilentVoterTest.java
@@ -48,8 +48,8 @@
       int leader = simulation.leaders().get(0);
       List<Integer> followers =
           simulation.voters().stream().filter(voter -> voter != leader).toList();
-      int silent = followers.get(random.nextInt(followers.size()));
-      int otherFollower = followers.stream().filter(voter -> voter != silent).findAny().get();
+      final int silent = followers.get(random.nextInt(followers.size()));
+      final int otherFollower = followers.stream().filter(voter -> voter != silent).findAny().get();
       simulation.freezeAt(silent, SILENCE_MILLIS);
       simulation.runProposing(VOTER_LOSS_MILLIS);
       runProposingEach(simulation, random.nextInt(REPLACEMENT_MILLIS));
