--- a/primrosegauge-bench/src/main/java/org/primrosegauge/bench/soak/SoakMain.java
+++ b/primrosegauge-bench/src/main/java/org/primrosegauge/bench/soak/SoakMain.java
@@ -162,7 +162,7 @@
         start += late;
       }
       Thread.sleep(Math.max(0, start + step.atMillis() - clients.now()));
-      play(step, steps);
+      carryOut(step, steps);
     }
     awaitAll();
   }
@@ -190,7 +190,8 @@
     return true;
   }
 
-  private void play(SoakStep step, List<SoakStep> steps) throws IOException, InterruptedException {
+  private void carryOut(SoakStep step, List<SoakStep> steps)
+      throws IOException, InterruptedException {
     int number = step.cores().get(0);
     List<String> hosts = step.cores().stream().map(site.cores()::get).toList();
     long began = clients.now();
--- a/primrosegauge-bench/src/test/java/org/primrosegauge/bench/soak/SoakCheckerTest.java
+++ b/primrosegauge-bench/src/test/java/org/primrosegauge/bench/soak/SoakCheckerTest.java
@@ -69,7 +69,7 @@
   }
 
   @Test
-  void routeNeedNotBeServedNearAFault() {
+  void routeNeedNotBeServedNearFaults() {
     add(Kind.CHANGE, 100, 110, "1", 200, 5);
     add(Kind.FAULT, 3_000, 3_000, "KILL", 0, 0);
     add(Kind.ROUTE, 5_000, 5_010, "1", 404, 1);
--- a/primrosegauge-bench/src/test/java/org/primrosegauge/bench/soak/SoakPlanTest.java
+++ b/primrosegauge-bench/src/test/java/org/primrosegauge/bench/soak/SoakPlanTest.java
@@ -21,7 +21,7 @@
 
   @ParameterizedTest
   @MethodSource("seeds")
-  void oneDiskIsLostAtATime(long seed) {
+  void disksAreLostOneByOne(long seed) {
     check(seed, SoakPlan.steps(seed));
     check(seed, SoakPlan.aimed(seed));
   }
