Missing voters are promoted before a silent one is replaced

Cause: the changes for returned, missing and unresponsive members were looked for in one pass in the order of the instances, and a voter was replaced although fewer voters than intended were there.

LogDiskLossTest, LogReplacementTest, SilentVoterTest, LogReplicaRulesTest and LogToleranceTest pass.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/MembershipManager.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/MembershipManager.java
@@ -68,15 +68,34 @@
     return true;
   }
 
-  /** Makes at most one change that brings the membership closer to the intended one. */
+  /**
+   * Makes at most one change that brings the membership closer to the intended one. Instances that
+   * are back and learners go before unresponsive members, so that no voter is replaced while others
+   * are missing.
+   */
   public void reconcile(long nowMillis) {
+    boolean isChanged = changeFirst(this::readmission, nowMillis);
+    if (!isChanged && targetVoters() > 0) {
+      changeFirst(this::changeForUnresponsive, nowMillis);
+    }
+  }
+
+  /** Makes the first change for a member that is not refused; returns whether there was one. */
+  private boolean changeFirst(ChangeRule rule, long nowMillis) {
     for (Member member : context.membership().members()) {
-      MembershipChange change = nextChangeFor(member, nowMillis);
+      MembershipChange change = rule.changeFor(member, nowMillis);
       if (change != null && refusal(change, nowMillis) == null) {
         leader.append(context.membership().with(change), nowMillis);
-        return;
+        return true;
       }
     }
+    return false;
+  }
+
+  /** Returns the change that a member needs now; null if it needs none. */
+  @FunctionalInterface
+  private interface ChangeRule {
+    MembershipChange changeFor(Member member, long nowMillis);
   }
 
   /** Returns whether there is an uncommitted change, or may be one of an earlier term. */
@@ -110,7 +129,7 @@
         : Optional.empty();
   }
 
-  private MembershipChange nextChangeFor(Member member, long nowMillis) {
+  private MembershipChange readmission(Member member, long nowMillis) {
     if (member.replica().equals(context.self())) {
       return null;
     }
@@ -118,10 +137,9 @@
     if (replacement != null) {
       return new MembershipChange.AddLearner(replacement);
     }
-    if (!member.isVoter() && isWantedAsVoter(member)) {
-      return new MembershipChange.Promote(member.replica().instance());
-    }
-    return targetVoters() > 0 ? nextChangeForUnresponsive(member, nowMillis) : null;
+    return !member.isVoter() && isWantedAsVoter(member)
+        ? new MembershipChange.Promote(member.replica().instance())
+        : null;
   }
 
   private boolean isWantedAsVoter(Member member) {
@@ -135,7 +153,7 @@
    * one step: it may come back with its disk, while one that holds the log may be lost, so there
    * must be neither fewer voters nor a quorum that needs more of them meanwhile.
    */
-  private MembershipChange nextChangeForUnresponsive(Member member, long nowMillis) {
+  private MembershipChange changeForUnresponsive(Member member, long nowMillis) {
     InstanceId instance = member.replica().instance();
     int loss = context.settings().voterLossMillis();
     if (!member.isVoter()) {
@@ -150,9 +168,11 @@
     if (voters > targetVoters()) {
       return new MembershipChange.Remove(instance);
     }
-    return readyLearner(nowMillis)
-        .map(learner -> new MembershipChange.Replace(instance, learner.replica().instance()))
-        .orElse(null);
+    return voters < targetVoters()
+        ? null
+        : readyLearner(nowMillis)
+            .map(learner -> new MembershipChange.Replace(instance, learner.replica().instance()))
+            .orElse(null);
   }
 
   private Optional<Member> readyLearner(long nowMillis) {
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogDiskLossTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogDiskLossTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -129,6 +130,30 @@
     }
   }
 
+  /** Guards against a learner that takes a silent voter's place instead of the missing one's. */
+  @Test
+  void missingVoterIsPromotedAlthoughAnotherIsSilent() {
+    int silenceMillis = 8_000;
+    for (int seed = 0; seed < 40; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      LogSimulation simulation = new LogSimulation(TIMINGS, TARGET_VOTERS, 0, seed);
+      simulation.loseNoMessages();
+      simulation.runProposing(START_MILLIS);
+      List<Integer> followers = new ArrayList<>(simulation.voters());
+      followers.remove(simulation.leaders().get(0));
+      int lost = followers.remove(random.nextInt(followers.size()));
+      simulation.freezeAt(followers.get(random.nextInt(followers.size())), silenceMillis);
+      simulation.runProposing(1_500);
+      simulation.loseDisk(lost);
+      simulation.runFor(1_000);
+      simulation.startAt(lost);
+      simulation.runProposing(CATCH_UP_MILLIS - 1_200);
+      assertWithMessage("seed %s: %s", seed, simulation.describe())
+          .that(simulation.voters())
+          .hasSize(TARGET_VOTERS);
+    }
+  }
+
   /** Guards against a lost voter that is not replaced before the next one may be lost. */
   @Test
   void logSurvivesSuccessiveDiskLossesAfterCatchUp() {
