Readings of two clocks between which a thread waited are not compared

Seen in reading: a thread that has to wait between the reading of the monotonic and of the wall clock would have taken that for a suspension, which ends the lease for one confirmation. Lint: two variables far from their use.

--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogDiskLossTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/log/LogDiskLossTest.java
@@ -135,10 +135,10 @@
   void missingVoterIsPromotedAlthoughAnotherIsSilent() {
     int silenceMillis = 8_000;
     for (int seed = 0; seed < 40; seed++) {
-      SplittableRandom random = new SplittableRandom(seed);
       LogSimulation simulation = new LogSimulation(TIMINGS, TARGET_VOTERS, 0, seed);
       simulation.loseNoMessages();
       simulation.runProposing(START_MILLIS);
+      SplittableRandom random = new SplittableRandom(seed);
       List<Integer> followers = new ArrayList<>(simulation.voters());
       followers.remove(simulation.leaders().get(0));
       int lost = followers.remove(random.nextInt(followers.size()));
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
@@ -69,7 +69,7 @@
   private final ConfigurationParser configurations;
   private final CallAuthorizer authorizer;
   private final ReplicatedLog<ScopeResult> log;
-  private final SuspensionDetector suspensions = new SuspensionDetector();
+  private final SuspensionDetector suspensions;
   private final ProposedJobs proposedJobs = new ProposedJobs();
 
   private final DomainOrderSequence domainOrders = new DomainOrderSequence();
@@ -118,6 +118,7 @@
       throws StorageException {
     this.clock = dependencies.clock();
     this.wallClock = dependencies.wallClock();
+    this.suspensions = new SuspensionDetector(clock, wallClock);
     this.events = dependencies.events();
     this.metrics = dependencies.metrics();
     this.ledger = ledger;
@@ -236,10 +237,9 @@
 
   /** Ends the lease after a suspension, which its clock does not count but those of others do. */
   private void endLeaseIfSuspended() {
-    long nowMillis = clock.nowMillis();
-    if (suspensions.wasSuspended(nowMillis, wallClock.nowMillis())) {
+    if (suspensions.wasSuspended()) {
       LOG.warn("the machine was suspended or its wall clock was set forward; confirming the lease");
-      log.suspended(nowMillis);
+      log.suspended(clock.nowMillis());
     }
   }
 
