A job begins its due occurrences as they can be placed

Each leader in turn ran out of memory.

Cause: DemandQueue began every due occurrence of a job in one pass, with a record for each task, and nothing bounds how many are due. The job is in the log, so each next leader did the same. What was done was kept one by one.

Change: occurrences begin in order, the next one only while fewer than 64 of the job, or 4,096 tasks, wait for their first start; a step that waits for workers later on holds no other occurrence back. What is done is a count. The critical path is computed once for a job and pass, and a step remembers its largest number of failures.

Ruled out: refusing the job.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobEntry.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobEntry.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.stream.Stream;
 
 /**
@@ -20,7 +18,7 @@
   private final ScopeJob job;
   private final SortedMap<Integer, List<StepRecord>> occurrences = new TreeMap<>();
   private JobStatus status = JobStatus.QUEUED;
-  private final Set<Integer> doneOccurrences = new TreeSet<>();
+  private int begunOccurrences;
   private int openRuns;
   private long endedMillis;
 
@@ -34,7 +32,7 @@
   JobEntry(ScopeJob job) {
     this.job = job;
     if (job.recurrence().equals(Recurrence.NONE)) {
-      occurrence(0);
+      beginNext();
     }
   }
 
@@ -42,13 +40,13 @@
   JobEntry(
       ScopeJob job,
       JobStatus status,
-      Set<Integer> doneOccurrences,
+      int begunOccurrences,
       int openRuns,
       long endedMillis,
       SortedMap<Integer, List<StepRecord>> occurrences) {
     this.job = job;
     this.status = status;
-    this.doneOccurrences.addAll(doneOccurrences);
+    this.begunOccurrences = begunOccurrences;
     this.openRuns = openRuns;
     this.endedMillis = endedMillis;
     this.occurrences.putAll(occurrences);
@@ -82,12 +80,43 @@
   }
 
   /**
-   * Returns the numbers of the completed occurrences.
+   * Returns the number of occurrences that have begun. They begin in order, so it is also the
+   * number of the next one.
    *
-   * @since 0.2
+   * @since 0.4
+   */
+  public int begunOccurrences() {
+    return begunOccurrences;
+  }
+
+  /**
+   * Returns whether an occurrence has begun and is done.
+   *
+   * @since 0.4
    */
-  public Set<Integer> doneOccurrences() {
-    return doneOccurrences;
+  public boolean isDone(int occurrence) {
+    return occurrence < begunOccurrences && !occurrences.containsKey(occurrence);
+  }
+
+  /**
+   * Returns whether all occurrences are done.
+   *
+   * @since 0.4
+   */
+  public boolean isDone() {
+    return occurrences.isEmpty() && begunOccurrences == job.recurrence().occurrences();
+  }
+
+  /**
+   * Returns whether the next occurrence may begin. All tasks of those that have begun are in
+   * memory, so a job with more due occurrences than that begins them as others are done.
+   *
+   * @since 0.4
+   */
+  public boolean mayBeginNext() {
+    boolean isLast = begunOccurrences == job.recurrence().occurrences();
+    long tasks = (occurrences.size() + 1) * job.taskCount();
+    return !isLast && (occurrences.isEmpty() || tasks <= StepSpec.MAX_TASKS);
   }
 
   /**
@@ -110,19 +139,22 @@
   }
 
   /**
-   * Returns the steps of an occurrence, creating their records if the occurrence has not begun.
+   * Returns the steps of an occurrence, after it and all before it have begun; none if it is done.
    *
    * @since 0.2
    */
   public List<StepRecord> occurrence(int number) {
-    return occurrences.computeIfAbsent(
-        number,
-        key -> {
-          List<StepRecord> steps =
-              new ArrayList<>(job.steps().stream().map(StepRecord::new).toList());
-          steps.forEach(step -> backlog.adjust(step.spec(), step.pendingTasks()));
-          return steps;
-        });
+    while (begunOccurrences <= number) {
+      beginNext();
+    }
+    return occurrences.getOrDefault(number, List.of());
+  }
+
+  private void beginNext() {
+    List<StepRecord> steps = new ArrayList<>(job.steps().stream().map(StepRecord::new).toList());
+    steps.forEach(step -> backlog.adjust(step.spec(), step.pendingTasks()));
+    occurrences.put(begunOccurrences, steps);
+    begunOccurrences++;
   }
 
   /**
@@ -178,7 +210,6 @@
 
   void markOccurrenceDone(int number) {
     occurrences.remove(number);
-    doneOccurrences.add(number);
   }
 
   void end(JobStatus finalStatus, long atMillis) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
@@ -37,6 +37,15 @@
     steps = List.copyOf(steps);
   }
 
+  /**
+   * Returns the number of tasks of all steps of one occurrence.
+   *
+   * @since 0.4
+   */
+  public long taskCount() {
+    return steps.stream().mapToLong(StepSpec::count).sum();
+  }
+
   /**
    * Returns the duration of the critical path through the steps, in milliseconds.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -335,8 +335,7 @@
       return;
     }
     int occurrence = run.task().occurrence();
-    boolean isDone = entry.doneOccurrences().contains(occurrence);
-    if (isDone || occurrence >= entry.job().recurrence().occurrences()) {
+    if (entry.isDone(occurrence) || occurrence >= entry.job().recurrence().occurrences()) {
       return;
     }
     StepRecord step = entry.occurrence(occurrence).get(run.task().step());
@@ -428,7 +427,7 @@
         entry.markOccurrenceDone(activeOccurrence.getKey());
       }
     }
-    if (entry.doneOccurrences().size() == entry.job().recurrence().occurrences()) {
+    if (entry.isDone()) {
       jobs.end(entry, JobStatus.COMPLETED, atMillis);
     }
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.primrosegauge.core.FailureDomainId;
 
 /**
@@ -64,7 +65,10 @@
    *
    * @param job job as accepted
    * @param status status as shown to callers
-   * @param doneOccurrences numbers of the completed occurrences
+   * @param doneOccurrences numbers of the completed occurrences, in snapshots of releases before
+   *     0.4; null in others
+   * @param begunOccurrences number of occurrences that have begun; 0 also in snapshots of releases
+   *     before 0.4
    * @param openRuns number of runs that may still be active
    * @param endedMillis time when the job ended, in milliseconds since 1970; 0 if it has not ended
    * @param occurrences occurrences that have begun and are not done
@@ -74,6 +78,7 @@
       ScopeJob job,
       JobStatus status,
       Set<Integer> doneOccurrences,
+      int begunOccurrences,
       int openRuns,
       long endedMillis,
       List<OccurrenceState> occurrences) {
@@ -89,7 +94,8 @@
       return new JobState(
           entry.job(),
           entry.status(),
-          Set.copyOf(entry.doneOccurrences()),
+          null,
+          entry.begunOccurrences(),
           entry.openRuns(),
           entry.endedMillis(),
           begun);
@@ -104,7 +110,34 @@
         }
         begun.put(occurrence.number(), steps);
       }
-      return new JobEntry(job, status, doneOccurrences, openRuns, endedMillis, begun);
+      int count = begunOccurrences;
+      if (count == 0) {
+        count = countBegun();
+        addMissing(begun, count);
+      }
+      return new JobEntry(job, status, count, openRuns, endedMillis, begun);
+    }
+
+    /** Returns up to which occurrence any had begun in a release before 0.4. */
+    private int countBegun() {
+      IntStream begun = occurrences.stream().mapToInt(OccurrenceState::number);
+      IntStream done = doneNumbers().stream().mapToInt(Integer::intValue);
+      return IntStream.concat(begun, done).max().orElse(-1) + 1;
+    }
+
+    private Set<Integer> doneNumbers() {
+      return doneOccurrences == null ? Set.of() : doneOccurrences;
+    }
+
+    /** Begins the occurrences that a release before 0.4 had left out; it did not begin in order. */
+    private void addMissing(SortedMap<Integer, List<StepRecord>> begun, int count) {
+      for (int number = 0; number < count; number++) {
+        if (!doneNumbers().contains(number)) {
+          begun.computeIfAbsent(
+              number,
+              missing -> new ArrayList<>(job.steps().stream().map(StepRecord::new).toList()));
+        }
+      }
     }
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepRecord.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepRecord.java
@@ -20,6 +20,9 @@
   private int openTasks;
   private int pendingTasks;
 
+  /** Largest number of failures of any task. */
+  private int mostFailures;
+
   /** Creates the record of a step that has not run yet. */
   StepRecord(StepSpec spec) {
     this.spec = spec;
@@ -39,6 +42,7 @@
     this.doneTasks = (int) tasks.stream().filter(TaskRecord::isDone).count();
     this.openTasks = (int) tasks.stream().filter(TaskRecord::isOpen).count();
     this.pendingTasks = (int) tasks.stream().filter(StepRecord::isPending).count();
+    this.mostFailures = tasks.stream().mapToInt(TaskRecord::failures).max().orElse(0);
   }
 
   /**
@@ -160,6 +164,7 @@
 
   void countFailure(int index, int attempt) {
     tasks.get(index).countFailure();
+    mostFailures = Math.max(mostFailures, tasks.get(index).failures());
     if (attempt > lastFailedAttempt) {
       lastFailedAttempt = attempt;
       gangFailures++;
@@ -183,6 +188,8 @@
     if (spec.gang()) {
       return gangFailures >= maxAttempts;
     }
-    return tasks.stream().anyMatch(task -> !task.isDone() && task.failures() >= maxAttempts);
+    // A job has its status checked with each end of a run, so few of them may look at all tasks.
+    return mostFailures >= maxAttempts
+        && tasks.stream().anyMatch(task -> !task.isDone() && task.failures() >= maxAttempts);
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
@@ -14,7 +14,6 @@
 import org.primrosegauge.core.scope.ClockReading;
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.QueueSpec;
-import org.primrosegauge.core.scope.Recurrence;
 import org.primrosegauge.core.scope.StepKey;
 import org.primrosegauge.core.scope.StepRecord;
 
@@ -38,6 +37,15 @@
           .thenComparingInt(demand -> demand.key().occurrence())
           .thenComparingInt(demand -> demand.key().step());
 
+  /**
+   * Largest number of occurrences of a job that have begun and wait for their first start. Any
+   * number may be due, and each one that begins takes memory and time in each pass.
+   */
+  private static final int MAX_WAITING_OCCURRENCES = 64;
+
+  /** The same as a number of tasks, unless one occurrence has more. */
+  private static final int MAX_WAITING_TASKS = 4_096;
+
   /** A time at which a job has to be examined again. */
   private record Recheck(long atMillis, JobId job) {
 
@@ -160,30 +168,39 @@
 
   private void collect(
       JobEntry entry, Map<StepKey, StepWait> stepWaits, ClockReading now, List<Demand> found) {
-    Recurrence recurrence = entry.job().recurrence();
-    boolean isOnce = recurrence.equals(Recurrence.NONE);
-    for (int number = 0; number < recurrence.occurrences(); number++) {
-      state.examined(1);
-      long due = recurrence.dueMillis(number);
-      if (!isOnce && due > now.wallMillis()) {
-        wallClockRechecks.add(new Recheck(due, entry.job().id()));
+    long allowedMillis = objectives.allowedMillis(entry);
+    for (int begun : List.copyOf(entry.occurrences().keySet())) {
+      collect(entry, begun, allowedMillis, stepWaits, now, found);
+    }
+    long waiting = found.stream().filter(DemandQueue::isOfWaitingOccurrence).count();
+    long limit = MAX_WAITING_TASKS / Math.max(1, entry.job().taskCount());
+    limit = Math.max(1, Math.min(MAX_WAITING_OCCURRENCES, limit));
+    for (; waiting < limit && entry.mayBeginNext(); waiting++) {
+      int next = entry.begunOccurrences();
+      long dueMillis = entry.job().recurrence().dueMillis(next);
+      if (dueMillis > now.wallMillis()) {
+        wallClockRechecks.add(new Recheck(dueMillis, entry.job().id()));
         return;
       }
-      if (!entry.doneOccurrences().contains(number)) {
-        long beginMillis = JobObjectives.beginMillis(entry, number);
-        collect(entry, number, beginMillis, stepWaits, now, found);
-      }
+      collect(entry, next, allowedMillis, stepWaits, now, found);
     }
   }
 
+  /** Tells whether a demand is for the first step of an occurrence of which nothing has started. */
+  private static boolean isOfWaitingOccurrence(Demand demand) {
+    return demand.key().step() == 0 && demand.tasks().size() == demand.spec().count();
+  }
+
   private void collect(
       JobEntry entry,
       int occurrence,
-      long beginMillis,
+      long allowedMillis,
       Map<StepKey, StepWait> stepWaits,
       ClockReading now,
       List<Demand> found) {
     List<StepRecord> steps = entry.occurrence(occurrence);
+    long beginMillis = JobObjectives.beginMillis(entry, occurrence);
+    state.examined(steps.size());
     for (int number = 0; number < steps.size(); number++) {
       StepRecord step = steps.get(number);
       StepKey key = new StepKey(entry.job().id(), occurrence, number);
@@ -194,7 +211,8 @@
       List<Integer> tasks = isReady ? unplacedTasks(key, step) : List.of();
       if (!tasks.isEmpty()) {
         StepWait wait = stepWaits.getOrDefault(key, new StepWait(now.monotonicMillis()));
-        found.add(demand(entry, key, step, tasks, beginMillis, wait, now.wallMillis()));
+        found.add(
+            demand(entry, key, step, tasks, beginMillis, allowedMillis, wait, now.wallMillis()));
       }
     }
   }
@@ -228,10 +246,10 @@
       StepRecord step,
       List<Integer> tasks,
       long beginMillis,
+      long allowedMillis,
       StepWait wait,
       long wallMillis) {
     int priority = state.priorityOf(entry);
-    long allowedMillis = objectives.allowedMillis(entry);
     long remainingMillis = state.expectedMillis(entry, step.spec());
     long lateFrom = beginMillis + allowedMillis - remainingMillis;
     long worthlessFrom = beginMillis + QueueSpec.LATE_FACTOR * allowedMillis - remainingMillis;
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/PlannerHarness.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/PlannerHarness.java
@@ -40,6 +40,7 @@
   private final Map<RunId, WorkerKey> stopping = new LinkedHashMap<>();
   private final List<Placement> placed = new ArrayList<>();
   private final Deque<ScopeAction> pendingActions = new ArrayDeque<>();
+  private long term;
   private long nowMillis = 10_000;
   private long maxExamined;
   private long passes;
@@ -52,12 +53,17 @@
     for (int i = 0; i < workers; i++) {
       ledger.apply(new ScopeCommand.SeeWorker(worker(i, perRack)));
     }
-    perform(scheduler.startLeading(new Term(1), now()));
-    for (int i = 0; i < workers; i++) {
-      WorkerHeartbeat heartbeat = new WorkerHeartbeat(worker(i, perRack), 1, false, 0, nowMillis);
+    startLeading();
+  }
+
+  /** Starts the next term, in which each worker has sent a heartbeat and answered a poll. */
+  private void startLeading() {
+    perform(scheduler.startLeading(new Term(++term), now()));
+    for (WorkerRecord worker : List.copyOf(ledger.workers())) {
+      WorkerHeartbeat heartbeat = new WorkerHeartbeat(worker.info(), 1, false, 0, nowMillis);
       perform(scheduler.handleHeartbeat(heartbeat, now()));
     }
-    for (int i = 0; i < workers / MAX_POLLS + 1; i++) {
+    for (int i = 0; i < ledger.workers().size() / MAX_POLLS + 1; i++) {
       answerFirstPolls();
       nowMillis += POLL_INTERVAL_MILLIS;
     }
@@ -104,6 +110,10 @@
   }
 
   void submit(String id, int priority, int customer, StepSpec... steps) {
+    submit(id, priority, customer, Recurrence.NONE, steps);
+  }
+
+  void submit(String id, int priority, int customer, Recurrence recurrence, StepSpec... steps) {
     ScopeJob job =
         new ScopeJob(
             new JobId(id),
@@ -114,10 +124,31 @@
             nowMillis,
             "",
             List.of(steps),
-            Recurrence.NONE);
+            recurrence);
     commit(new ScopeCommand.Submit(job));
   }
 
+  /** Returns the state of a job. */
+  JobEntry job(String id) {
+    return ledger.job(new JobId(id)).orElseThrow();
+  }
+
+  /** Replaces the state by that of its own snapshot, for the next leader. */
+  void restoreSnapshot() {
+    ScopeSnapshot snapshot = ledger.snapshot();
+    scheduler.stopLeading();
+    ledger.restore(snapshot);
+    scheduler.restored();
+    startLeading();
+  }
+
+  /** Ends all runs that are active. */
+  void endAllRuns() {
+    while (!running.isEmpty()) {
+      endOldestRun();
+    }
+  }
+
   /** Ends the run that was started first. */
   void endOldestRun() {
     RunId run = running.keySet().iterator().next();
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLedgerIndexTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLedgerIndexTest.java
@@ -198,7 +198,7 @@
   private void beginOccurrence() {
     ledger
         .job(jobId())
-        .filter(job -> !job.status().isFinal() && !job.doneOccurrences().contains(0))
+        .filter(job -> !job.status().isFinal() && !job.isDone(0))
         .ifPresent(job -> job.occurrence(0));
   }
 
