Jobs follow their queue to another service

Cause: a job stored the service of its queue when it was accepted, and was placed there for ever.

Related paths: a job authorized before the configuration was applied and accepted after it; a queue that moves and is then removed; the backlog of a service, by which calls are refused.

A job whose queue is configured no more stays with the latest service that the queue had.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobEntry.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobEntry.java
@@ -5,6 +5,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.stream.Stream;
+import org.primrosegauge.core.ServiceId;
 
 /**
  * State of a job in the ledger. Modified only by {@link ScopeLedger}.
@@ -15,7 +16,7 @@
  */
 public final class JobEntry {
 
-  private final ScopeJob job;
+  private ScopeJob job;
   private final SortedMap<Integer, List<StepRecord>> occurrences = new TreeMap<>();
   private JobStatus status = JobStatus.QUEUED;
   private int begunOccurrences;
@@ -53,7 +54,7 @@
   }
 
   /**
-   * Returns the job as accepted.
+   * Returns the job as accepted, with the service that its queue has now.
    *
    * @since 0.2
    */
@@ -175,6 +176,18 @@
     allSteps().forEach(step -> backlog.adjust(step.spec(), step.pendingTasks()));
   }
 
+  /** Lets the workers of another service run the job, with the backlog of that service's queue. */
+  void moveTo(ServiceId pool, Backlog queueBacklog) {
+    detachBacklog();
+    job = job.withPool(pool);
+    attachBacklog(queueBacklog);
+  }
+
+  private void detachBacklog() {
+    allSteps().forEach(step -> backlog.adjust(step.spec(), -step.pendingTasks()));
+    backlog = new Backlog();
+  }
+
   void open(StepRecord step, int index, int attempt, WorkerKey worker) {
     applyAndAdjustBacklog(step, () -> step.open(index, attempt, worker));
   }
@@ -213,8 +226,7 @@
   }
 
   void end(JobStatus finalStatus, long atMillis) {
-    allSteps().forEach(step -> backlog.adjust(step.spec(), -step.pendingTasks()));
-    backlog = new Backlog();
+    detachBacklog();
     status = finalStatus;
     endedMillis = atMillis;
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobTable.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobTable.java
@@ -98,7 +98,7 @@
     jobs.put(entry.job().id(), entry);
     if (!entry.status().isFinal()) {
       unfinished.put(entry.job().id(), entry);
-      entry.attachBacklog(backlogOf(entry.job()));
+      entry.attachBacklog(backlogOf(entry.job().pool(), entry.job().queue()));
     }
     if (entry.status() == JobStatus.QUEUED) {
       queuedJobs
@@ -133,10 +133,15 @@
     addIfPurgeable(entry);
   }
 
-  private Backlog backlogOf(ScopeJob job) {
+  /** Lets the workers of another service run a job that has not ended. */
+  void move(JobEntry entry, ServiceId pool) {
+    entry.moveTo(pool, backlogOf(pool, entry.job().queue()));
+  }
+
+  private Backlog backlogOf(ServiceId pool, QueueName queue) {
     return backlogs
-        .computeIfAbsent(job.pool(), pool -> new HashMap<>())
-        .computeIfAbsent(job.queue(), queue -> new Backlog());
+        .computeIfAbsent(pool, key -> new HashMap<>())
+        .computeIfAbsent(queue, key -> new Backlog());
   }
 
   /** No run of an ended job is opened any more, so each job becomes purgeable only once. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeConfiguration.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeConfiguration.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.Revision;
+import org.primrosegauge.core.ServiceId;
 
 /**
  * Configuration of a scope.
@@ -63,6 +64,16 @@
     return ((QueueList) queues).find(name);
   }
 
+  /**
+   * Returns the service whose workers run the jobs of a queue; empty if the queue is not configured
+   * any more.
+   *
+   * @since 0.4
+   */
+  public Optional<ServiceId> poolOf(QueueName name) {
+    return queue(name).map(QueueSpec::pool);
+  }
+
   /**
    * Returns the priority of a queue, of which 0 is the most urgent; {@link Integer#MAX_VALUE} if
    * the queue is not configured any more.
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
@@ -7,11 +7,12 @@
 import org.primrosegauge.core.ServiceId;
 
 /**
- * A job as accepted.
+ * A job as accepted, with the service that its queue has now.
  *
  * @param id id chosen by the caller
  * @param queue queue to which it was submitted
- * @param pool service whose workers run it
+ * @param pool service whose workers run it: that of its queue in the configuration in force, or the
+ *     latest that the queue had if it is not configured any more
  * @param customer customer authenticated by its key; null on a public queue
  * @param maxAttempts number of failed runs of a task after which the job fails, as configured when
  *     it was accepted
@@ -37,6 +38,16 @@
     steps = List.copyOf(steps);
   }
 
+  /**
+   * Returns the same job with another service whose workers run it.
+   *
+   * @since 0.4
+   */
+  public ScopeJob withPool(ServiceId newPool) {
+    return new ScopeJob(
+        id, queue, newPool, customer, maxAttempts, submittedMillis, payload, steps, recurrence);
+  }
+
   /**
    * Returns the number of tasks of all steps of one occurrence.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -287,6 +287,8 @@
     for (ScopeSnapshot.JobState state : snapshot.jobs()) {
       jobs.add(state.toEntry());
     }
+    // Releases before 0.4 left jobs with the service that their queue had when they came.
+    moveJobs();
     runTimes.restore(snapshot.runTimes());
   }
 
@@ -294,13 +296,29 @@
     if (command.configuration().revision().compareTo(configuration.revision()) > 0) {
       configuration = command.configuration();
       content = command.content();
+      moveJobs();
     }
   }
 
+  /** Moves the jobs of queues that the configuration in force sends to another service. */
+  private void moveJobs() {
+    for (JobEntry entry : jobs.unfinished()) {
+      ServiceId pool = poolOf(entry.job());
+      if (!pool.equals(entry.job().pool())) {
+        jobs.move(entry, pool);
+      }
+    }
+  }
+
+  private ServiceId poolOf(ScopeJob job) {
+    return configuration.poolOf(job.queue()).orElse(job.pool());
+  }
+
   private void submit(ScopeJob job) {
     jobs.purgeEndedBefore(job.submittedMillis() - retentionMillis);
     if (jobs.get(job.id()) == null) {
-      jobs.add(new JobEntry(job));
+      // The configuration may have changed since the job was authorized.
+      jobs.add(new JobEntry(job.withPool(poolOf(job))));
     }
   }
 
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLedgerIndexTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/ScopeLedgerIndexTest.java
@@ -39,12 +39,14 @@
   private ScopeLedger ledger = new ScopeLedger(RETENTION_MILLIS);
   private Random random = new Random(0);
   private long now;
+  private int revision;
 
   @Property(tries = 150, seed = SEED, shrinking = ShrinkingMode.OFF)
   void indexesMatchFullScans(@ForAll @LongRange(min = 1) long seed) {
     ledger = new ScopeLedger(RETENTION_MILLIS);
     random = new Random(seed);
     now = 1_000;
+    revision = 0;
     configure();
     for (int i = 0; i < COMMANDS; i++) {
       now += random.nextInt(8);
@@ -54,6 +56,7 @@
       applyRandomCommand();
       checkJobs();
       checkPendingWork();
+      checkPools();
     }
   }
 
@@ -170,7 +173,8 @@
   }
 
   private void applyRandomCommand() {
-    switch (random.nextInt(14)) {
+    switch (random.nextInt(15)) {
+      case 14 -> configure();
       case 12 -> switchDomain();
       case 13 -> beginOccurrence();
       case 0 -> registerWorker();
@@ -183,10 +187,24 @@
   }
 
   private void configure() {
-    List<QueueSpec> queues = List.of(spec("q0", 0), spec("q1", 1), spec("q2", 2));
+    List<QueueSpec> queues = new ArrayList<>();
+    for (int i = 0; i < QUEUES; i++) {
+      if (revision == 0 || random.nextInt(4) > 0) {
+        queues.add(spec("q" + i, i, random.nextInt(3) == 0 ? OTHER_POOL : POOL));
+      }
+    }
     ledger.apply(
         new ScopeCommand.Configure(
-            new ScopeConfiguration(new Revision(1), queues, List.of(), 1_000), "text"));
+            new ScopeConfiguration(new Revision(++revision), queues, List.of(), 1_000), "text"));
+  }
+
+  private void checkPools() {
+    for (JobEntry entry : ledger.unfinishedJobs()) {
+      ledger
+          .configuration()
+          .poolOf(entry.job().queue())
+          .ifPresent(pool -> assertThat(entry.job().pool()).isEqualTo(pool));
+    }
   }
 
   private void switchDomain() {
@@ -327,7 +345,11 @@
   }
 
   private static QueueSpec spec(String name, int priority) {
+    return spec(name, priority, POOL);
+  }
+
+  private static QueueSpec spec(String name, int priority, ServiceId pool) {
     return new QueueSpec(
-        new QueueName(name), "host", "/" + name + "/", POOL, priority, 3, 2.0, 0, true);
+        new QueueName(name), "host", "/" + name + "/", pool, priority, 3, 2.0, 0, true);
   }
 }
