Nothing completes a long-running task

A job of which all ended done was shown as completed.

Cause: closing a run marked its task as done for the outcome DONE, whatever its step. Only the limit of failed attempts looked at whether a step is long-running.

Change: whether a run completes its task is one question (StepSpec.isCompletedBy), and nothing completes a long-running task. A gang is stopped and started again as a whole.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -397,7 +397,7 @@
     if (!end.checkpoint().isEmpty()) {
       saveCheckpoint(step, key.index(), end.checkpoint());
     }
-    if (end.outcome() == RunOutcome.DONE) {
+    if (step.spec().isCompletedBy(end.outcome())) {
       if (end.observedMillis() > 0) {
         long declaredMillis = step.spec().estimatedMillis();
         runTimes.record(entry.job().queue(), declaredMillis, end.observedMillis());
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
@@ -169,7 +169,10 @@
 
     StepRecord toRecord(StepSpec spec) {
       return new StepRecord(
-          spec, tasks.stream().map(TaskState::toRecord).toList(), gangFailures, lastFailedAttempt);
+          spec,
+          tasks.stream().map(task -> task.toRecord(spec)).toList(),
+          gangFailures,
+          lastFailedAttempt);
     }
   }
 
@@ -202,8 +205,10 @@
           task.openWorker());
     }
 
-    TaskRecord toRecord() {
-      return new TaskRecord(done, failures, lastAttempt, checkpoint, openAttempt, openWorker);
+    /** Returns the record; releases before 0.4 recorded long-running tasks as done. */
+    TaskRecord toRecord(StepSpec spec) {
+      boolean isDone = done && !spec.longRunning();
+      return new TaskRecord(isDone, failures, lastAttempt, checkpoint, openAttempt, openWorker);
     }
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepSpec.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StepSpec.java
@@ -63,6 +63,16 @@
     dependsOn = List.copyOf(dependsOn);
   }
 
+  /**
+   * Returns whether a run that ends with an outcome completes its task. Nothing completes a
+   * long-running task: it is started again however its run ends, until its job is cancelled.
+   *
+   * @since 0.4
+   */
+  public boolean isCompletedBy(RunOutcome outcome) {
+    return outcome == RunOutcome.DONE && !longRunning;
+  }
+
   /**
    * Returns a copy without rack preferences: neither rack-local nor with a data rack.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -235,8 +235,7 @@
     state.remove(run);
     state.report(
         ScopeEvent.of(Kind.ENDED, run.id, run.worker.info.key(), "outcome=" + end.outcome()));
-    boolean isDone = end.outcome() == RunOutcome.DONE;
-    if (isDone) {
+    if (end.outcome() == RunOutcome.DONE) {
       run.worker.recordSuccess();
     } else if (end.outcome() == RunOutcome.FAILED) {
       state
@@ -247,7 +246,7 @@
         lifecycle.quarantine(run.worker, "consecutive runs fail", now.monotonicMillis());
       }
     }
-    if (run.spec.gang() && !isDone) {
+    if (run.spec.gang() && !run.spec.isCompletedBy(end.outcome())) {
       // A gang that has lost a member cannot continue.
       lifecycle.stopGang(run, "gang member " + run.id.task().index() + " ended", now);
     }
