Starts to a worker queue, and what was not sent is not in doubt

Cause: beyond 16 connections to a worker and a short queue in front of them a start failed at once. It counted as one without a response, was sent again at once, and after four tries was in doubt, for which the whole gang was stopped. Nothing of it had left the process.

Related paths: stops of a large gang; polls, which shared the connections and could count their worker as silent; a start held back because the leader's lease was not valid. The clients between instances have bounded queues with an error kind of their own; nothing to change there (read, not run).

The lease is checked when a request is sent, not when it is queued. A start that is not sent has the result NOT_SENT: sent again by the next tick while there is time, otherwise given up without doubt.

Not measured: requests a second, memory and connections at 2,800 workers.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StartResult.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/StartResult.java
@@ -22,6 +22,17 @@
   OTHER_LIFETIME,
   /** The request is malformed; it had no effect. */
   MALFORMED,
+  /** The request has not left this process; it will never be carried out. */
+  NOT_SENT,
   /** No response was received; the request may still be carried out. */
-  NO_ANSWER
+  NO_ANSWER;
+
+  /**
+   * Returns whether the result is a response of the worker.
+   *
+   * @since 0.4
+   */
+  public boolean isResponse() {
+    return this != NOT_SENT && this != NO_ANSWER;
+  }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunLifecycle.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunLifecycle.java
@@ -135,12 +135,13 @@
       return;
     }
     run.startInFlight = false;
-    if (result != StartResult.NO_ANSWER) {
+    if (result.isResponse()) {
       recordResponse(run.worker, clockMillis, now.monotonicMillis());
     }
     switch (result) {
       case STARTED -> handleStarted(run, now);
       case NO_ANSWER -> handleUnanswered(run, now);
+      case NOT_SENT -> handleNotSent(run, now);
       case SUPERSEDED -> {
         run.phase = RunState.Phase.IN_DOUBT;
         run.stopConfirmedMillis = now.monotonicMillis();
@@ -172,6 +173,13 @@
     if (result == StartResult.UNWELL) {
       quarantine(worker, "order to start refused as unwell", now.monotonicMillis());
     }
+    giveUpStart(run, now);
+  }
+
+  /**
+   * Gives up a run of which no request is open. Only one that was sent can still be carried out.
+   */
+  private void giveUpStart(RunState run, ClockReading now) {
     if (run.startUnanswered) {
       markInDoubt(run, now);
     } else {
@@ -179,6 +187,39 @@
     }
   }
 
+  /** Keeps a start that did not leave this process for another try, which soon follows. */
+  private void handleNotSent(RunState run, ClockReading now) {
+    run.startTries--;
+    if (isStartWanted(run, now)) {
+      state.unsentStarts.add(run);
+    } else {
+      giveUpStart(run, now);
+    }
+  }
+
+  /** Sends the starts again that did not leave this process. */
+  void resendStarts(ClockReading now) {
+    List<RunState> unsent = List.copyOf(state.unsentStarts);
+    state.unsentStarts.clear();
+    state.examined(unsent.size());
+    for (RunState run : unsent) {
+      if (state.runs.get(run.id) != run || run.endProposed) {
+        continue;
+      }
+      if (isStartWanted(run, now)) {
+        sendStart(run, now.monotonicMillis());
+      } else {
+        giveUpStart(run, now);
+      }
+    }
+  }
+
+  private boolean isStartWanted(RunState run, ClockReading now) {
+    boolean hasTime =
+        run.worker.clockAt(now.monotonicMillis()) + START_MARGIN_MILLIS < run.startDeadline;
+    return hasTime && !run.stopRequested && state.ledger.isOpen(run.id);
+  }
+
   private static String capacityDetail(WorkerSession worker) {
     return " free=" + worker.free() + " runs=" + worker.runs.size();
   }
@@ -188,10 +229,7 @@
     state.report(
         ScopeEvent.of(
             Kind.START_UNANSWERED, run.id, run.worker.info.key(), "try=" + run.startTries));
-    boolean hasTime =
-        run.worker.clockAt(now.monotonicMillis()) + START_MARGIN_MILLIS < run.startDeadline;
-    boolean isWanted = !run.stopRequested && state.ledger.isOpen(run.id);
-    if (hasTime && run.startTries < MAX_START_TRIES && isWanted) {
+    if (run.startTries < MAX_START_TRIES && isStartWanted(run, now)) {
       sendStart(run, now.monotonicMillis());
     } else {
       markInDoubt(run, now);
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -412,6 +412,7 @@
   public void tick(ClockReading now) {
     poller.expireDueLeases(now);
     lifecycle.resendStops(now.monotonicMillis());
+    lifecycle.resendStarts(now);
     overdueResponses.probeDue(now.monotonicMillis());
     monitor.stopBeforeExits(now);
     if (now.monotonicMillis() >= nextCheckMillis) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -69,6 +69,9 @@
   /** Runs that never started and whose end the log did not accept. */
   final Set<RunState> unrecordedEnds = new LinkedHashSet<>();
 
+  /** Runs whose start did not leave this process and is to be sent again. */
+  final Set<RunState> unsentStarts = new LinkedHashSet<>();
+
   /** Runs by the time at which they count as stalled unless they have made progress by then. */
   final TimerQueue<RunState> stallChecks = new TimerQueue<>();
 
@@ -110,6 +113,7 @@
     stopping.clear();
     stepsToCheck.clear();
     unrecordedEnds.clear();
+    unsentStarts.clear();
     stallChecks.clear();
     expectations.clear();
     proposedRuns.clear();
@@ -228,6 +232,7 @@
     run.worker.remove(run);
     changedJobs.add(run.id.task().job());
     stopping.remove(run);
+    unsentStarts.remove(run);
     if (run.spec.gang()) {
       stepsToCheck.add(run.id.task().stepKey());
     }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/SchedulerRunner.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Supplier;
+import org.primrosegauge.core.HostPort;
 import org.primrosegauge.core.scope.ClockReading;
 import org.primrosegauge.core.scope.PollResult;
 import org.primrosegauge.core.scope.ScopeAction;
@@ -66,6 +67,7 @@
   private final ScopeMetrics metrics;
   private final SchedulerLoad load;
   private final PlanningThrottle throttle = new PlanningThrottle();
+  private final OrderQueues orders = new OrderQueues();
 
   SchedulerRunner(
       ScopeScheduler scheduler,
@@ -102,6 +104,7 @@
     if (scheduler.isLeading() && !log.isLeader()) {
       scheduler.stopLeading();
       throttle.clear();
+      orders.clearWaiting();
       events.schedulerRoleChanged(false, log.term());
     }
   }
@@ -157,9 +160,9 @@
       } else if (action instanceof ScopeAction.Report report) {
         events.schedulerEvent(report.event());
       } else if (action instanceof ScopeAction.Start request) {
-        start(request, maySend(now));
+        start(request, now);
       } else if (action instanceof ScopeAction.Stop request) {
-        stop(request, maySend(now));
+        stop(request, now);
       } else if (action instanceof ScopeAction.Poll request) {
         poll(request, maySend(now));
       } else if (action instanceof ScopeAction.Probe request) {
@@ -182,35 +185,70 @@
                     (scheduler, now) -> scheduler.proposalFailed(command, now)));
   }
 
-  private void start(ScopeAction.Start request, boolean maySend) {
-    Mono<WorkerClient.StartReply> reply =
-        maySend
-            ? workers.start(request)
-            : Mono.just(new WorkerClient.StartReply(StartResult.NO_ANSWER, 0));
-    final long sentMillis = clock.nowMillis();
-    reply.subscribe(
-        response -> {
-          metrics.recordWorkerCall("start", response.result(), clock.nowMillis() - sentMillis);
-          enqueue(
-              EventKind.ANSWER,
-              (scheduler, now) ->
-                  scheduler.handleStartResult(
-                      request, response.result(), response.clockMillis(), now));
+  private void start(ScopeAction.Start request, ClockReading decisionTime) {
+    WorkerClient.StartReply notSent = new WorkerClient.StartReply(StartResult.NOT_SENT, 0);
+    OrderQueues.Order order =
+        new OrderQueues.Order(
+            () -> {
+              Mono<WorkerClient.StartReply> reply =
+                  maySend(decisionTime) ? workers.start(request) : Mono.just(notSent);
+              final long sentMillis = clock.nowMillis();
+              reply.subscribe(
+                  response -> {
+                    recordCall("start", response.result(), sentMillis);
+                    handleStartReply(request, response, true);
+                  });
+            },
+            () -> handleStartReply(request, notSent, false));
+    orders.submit(request.address(), order, clock.nowMillis());
+  }
+
+  private void handleStartReply(
+      ScopeAction.Start request, WorkerClient.StartReply reply, boolean wasOpen) {
+    enqueue(
+        EventKind.ANSWER,
+        (scheduler, now) -> {
+          completeIfOpen(request.address(), wasOpen);
+          return scheduler.handleStartResult(request, reply.result(), reply.clockMillis(), now);
         });
   }
 
-  private void stop(ScopeAction.Stop request, boolean maySend) {
-    Mono<StopResult> reply = maySend ? workers.stop(request) : Mono.just(StopResult.NO_ANSWER);
-    final long sentMillis = clock.nowMillis();
-    reply.subscribe(
-        response -> {
-          metrics.recordWorkerCall("stop", response, clock.nowMillis() - sentMillis);
-          enqueue(
-              EventKind.ANSWER,
-              (scheduler, now) -> scheduler.handleStopResult(request, response, now));
+  private void stop(ScopeAction.Stop request, ClockReading decisionTime) {
+    OrderQueues.Order order =
+        new OrderQueues.Order(
+            () -> {
+              Mono<StopResult> reply =
+                  maySend(decisionTime) ? workers.stop(request) : Mono.just(StopResult.NO_ANSWER);
+              final long sentMillis = clock.nowMillis();
+              reply.subscribe(
+                  response -> {
+                    recordCall("stop", response, sentMillis);
+                    handleStopReply(request, response, true);
+                  });
+            },
+            () -> handleStopReply(request, StopResult.NO_ANSWER, false));
+    orders.submit(request.address(), order, clock.nowMillis());
+  }
+
+  private void handleStopReply(ScopeAction.Stop request, StopResult result, boolean wasOpen) {
+    enqueue(
+        EventKind.ANSWER,
+        (scheduler, now) -> {
+          completeIfOpen(request.address(), wasOpen);
+          return scheduler.handleStopResult(request, result, now);
         });
   }
 
+  private void completeIfOpen(HostPort worker, boolean wasOpen) {
+    if (wasOpen) {
+      orders.completed(worker, clock.nowMillis());
+    }
+  }
+
+  private void recordCall(String call, Enum<?> result, long sentMillis) {
+    metrics.recordWorkerCall(call, result, clock.nowMillis() - sentMillis);
+  }
+
   private void poll(ScopeAction.Poll request, boolean maySend) {
     sendPoll(
         "look",
@@ -243,7 +281,7 @@
     final long sentMillis = clock.nowMillis();
     reply.subscribe(
         response -> {
-          metrics.recordWorkerCall(call, response.kind(), clock.nowMillis() - sentMillis);
+          recordCall(call, response.kind(), sentMillis);
           enqueue(EventKind.ANSWER, (scheduler, now) -> handler.handle(scheduler, response, now));
         });
   }
