Long-running tasks leave their worker before it exits

Cause: runs are stopped before their worker exits, as one that goes dark keeps them until its lease has expired; long-running ones were left alone.

Change: they are stopped when it is time for the stop, like the others.

Evidence: LeavingWorkerTest. lastingTasksOfWorkerThatIsTakenAwayStartElsewhereWithoutDelay failed before.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunMonitor.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunMonitor.java
@@ -61,8 +61,8 @@
    * <p>A worker may exit without a word at the end of the time that it has announced. Its runs
    * would then count as active until their lease has expired; a run that is stopped while the
    * worker still responds is placed again at once. Those that can resume from a checkpoint and
-   * those that are far from their end are stopped early, the others only when it is time for the
-   * stop.
+   * those that are far from their end are stopped early, the others and long-running ones only when
+   * it is time for the stop.
    */
   void stopBeforeExits(ClockReading now) {
     drainingWorkers.removeIf(worker -> !isToBeWatched(worker));
@@ -93,11 +93,13 @@
     if (run.spec.checkpoints()) {
       return remainingMillis > leftMillis;
     }
-    boolean isLeftAlone = run.spec.longRunning() || leftMillis <= 0;
-    if (isLeftAlone || !state.settings.isEnabled(ScopeFeature.STOP_BEFORE_EXIT)) {
+    if (leftMillis <= 0 || !state.settings.isEnabled(ScopeFeature.STOP_BEFORE_EXIT)) {
       return false;
     }
     boolean isStopDue = leftMillis <= state.settings.stopTimeoutMillis() + STOP_ROUND_TRIP_MILLIS;
+    if (run.spec.longRunning()) {
+      return isStopDue;
+    }
     boolean endsInTime = run.hasProgress() && remainingMillis <= leftMillis;
     return isStopDue ? !endsInTime : remainingMillis > HOPELESS_FACTOR * leftMillis;
   }
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/LeavingWorkerTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/LeavingWorkerTest.java
@@ -66,6 +66,22 @@
     assertThat(world.checker.violations).isEmpty();
   }
 
+  /** A worker that is taken away goes dark, so nothing but its lease would show their end. */
+  @Test
+  void lastingTasksOfWorkerThatIsTakenAwayStartElsewhereWithoutDelay() {
+    EmulatedScope world = new EmulatedScope(5, 6, true);
+    world.run(2_000);
+    StepSpec lasting =
+        StepSpec.builder(3).task(WHOLE_WORKER).longRunning(true).maxPerWorker(1).build();
+    world.submit("job", 0, "first", List.of(lasting), 1_000_000);
+    world.run(1_500);
+    takeOneAway(world);
+    world.run(NOTICE_MILLIS + RESTART_MILLIS);
+    assertThat(world.workers.values().stream().mapToInt(worker -> worker.runs.size()).sum())
+        .isEqualTo(3);
+    assertThat(world.checker.violations).isEmpty();
+  }
+
   @Test
   void runThatEndsBeforeTheExitIsNotStopped() {
     EmulatedScope world = worldWithJob(3, true, 500);
