A late heartbeat does not undo a drain in the log

Callers could see DRAIN: a task started on a worker whose drain had been acknowledged.

Cause: DrainCommands compared the log with each heartbeat whatever its sequence number, so that an earlier one that arrived late took the drain back. Within a term the scheduler compares the numbers; a new leader had none to compare with.

Change: the log keeps the sequence number that the drain rests on, and so does a new leader.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/DrainCommands.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/DrainCommands.java
@@ -23,16 +23,18 @@
    *
    * @param ledger state applied so far
    * @param heartbeat heartbeat of a worker
-   * @return commands; empty if the ledger already holds the same drain state, or another
-   *     incarnation with the target or the address of the worker
+   * @return commands; empty if the ledger already holds the same drain state or that of a later
+   *     heartbeat, or another incarnation with the target or the address of the worker
    * @since 0.3
    */
   public static List<ScopeCommand> forHeartbeat(ScopeLedger ledger, WorkerHeartbeat heartbeat) {
     WorkerKey key = heartbeat.info().key();
-    ScopeCommand switchDrain = new ScopeCommand.SwitchDrain(key, heartbeat.isDraining());
+    ScopeCommand switchDrain =
+        new ScopeCommand.SwitchDrain(key, heartbeat.isDraining(), heartbeat.sequence());
     WorkerRecord known = ledger.worker(key).orElse(null);
     if (known != null) {
-      boolean isChanged = known.isDraining() != heartbeat.isDraining();
+      boolean isLate = heartbeat.sequence() < known.drainSequence();
+      boolean isChanged = known.isDraining() != heartbeat.isDraining() && !isLate;
       boolean isOwn = known.info().isSameIncarnation(heartbeat.info());
       return isChanged && isOwn ? List.of(switchDrain) : List.of();
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeCommand.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeCommand.java
@@ -101,9 +101,10 @@
    *
    * @param worker worker incarnation
    * @param isDraining whether the worker is draining
+   * @param sequence sequence number of that heartbeat; 0 in entries of releases before 0.4
    * @since 0.3
    */
-  record SwitchDrain(WorkerKey worker, boolean isDraining) implements ScopeCommand {}
+  record SwitchDrain(WorkerKey worker, boolean isDraining, long sequence) implements ScopeCommand {}
 
   /**
    * Suspends or resumes the renewal of workers' leases. The leader that proposes a suspension stops
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -248,7 +248,8 @@
       removeWorker(forgetWorker.worker());
     } else if (command instanceof ScopeCommand.SwitchDrain switchDrain) {
       worker(switchDrain.worker())
-          .ifPresent(worker -> worker.setDraining(switchDrain.isDraining()));
+          .ifPresent(
+              worker -> worker.setDraining(switchDrain.isDraining(), switchDrain.sequence()));
     } else if (command instanceof ScopeCommand.SwitchRenewal switchRenewal) {
       switchRenewal(switchRenewal);
     }
@@ -280,7 +281,7 @@
     for (ScopeSnapshot.WorkerState worker : snapshot.workers()) {
       WorkerRecord record = new WorkerRecord(worker.info(), worker.lastEnd());
       record.openRuns().addAll(worker.openRuns());
-      record.setDraining(worker.draining());
+      record.setDraining(worker.draining(), worker.drainSequence());
       record.setRenewalSuspended(worker.renewalSuspended());
       workers.add(record);
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
@@ -40,6 +40,8 @@
    * @param lastEnd number of the last recorded end of a run
    * @param openRuns runs that may still be active on the worker
    * @param draining whether the worker is draining
+   * @param drainSequence sequence number of the heartbeat that said so; 0 in snapshots of releases
+   *     before 0.4
    * @param renewalSuspended whether the renewal of the lease of these runs is suspended
    * @since 0.2
    */
@@ -48,6 +50,7 @@
       long lastEnd,
       List<RunId> openRuns,
       boolean draining,
+      long drainSequence,
       boolean renewalSuspended) {
 
     static WorkerState of(WorkerRecord worker) {
@@ -56,6 +59,7 @@
           worker.lastEnd(),
           List.copyOf(worker.openRuns()),
           worker.isDraining(),
+          worker.drainSequence(),
           worker.isRenewalSuspended());
     }
   }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerRecord.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/WorkerRecord.java
@@ -16,6 +16,7 @@
   private final Set<RunId> openRuns = new LinkedHashSet<>();
   private long lastEnd;
   private boolean draining;
+  private long drainSequence;
   private boolean renewalSuspended;
 
   WorkerRecord(WorkerInfo info, long lastEnd) {
@@ -59,6 +60,16 @@
     return draining;
   }
 
+  /**
+   * Returns the sequence number of the heartbeat that {@link #isDraining} rests on; 0 if there was
+   * none.
+   *
+   * @since 0.4
+   */
+  public long drainSequence() {
+    return drainSequence;
+  }
+
   /**
    * Returns whether leaders must not renew the lease of the worker's runs.
    *
@@ -68,8 +79,12 @@
     return renewalSuspended;
   }
 
-  void setDraining(boolean isDraining) {
-    draining = isDraining;
+  /** Notes whether the worker drains, unless a later heartbeat has said otherwise. */
+  void setDraining(boolean isDraining, long sequence) {
+    if (sequence >= drainSequence || sequence == 0) {
+      draining = isDraining;
+      drainSequence = sequence;
+    }
   }
 
   void setRenewalSuspended(boolean isSuspended) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -77,6 +77,7 @@
       WorkerSession session = openSession(worker.info(), now);
       session.draining = worker.isDraining();
       session.drainAnnounced = worker.isDraining();
+      session.drainSequence = worker.drainSequence();
       session.drainEndMillis = now.monotonicMillis();
       if (worker.isRenewalSuspended()) {
         session.renewalSuspended = true;
@@ -205,7 +206,8 @@
   /** Proposes to record that a worker drains which could not be registered with that at once. */
   private void recordDrain(WorkerHeartbeat heartbeat) {
     if (heartbeat.isDraining()) {
-      state.propose(new ScopeCommand.SwitchDrain(heartbeat.info().key(), true));
+      state.propose(
+          new ScopeCommand.SwitchDrain(heartbeat.info().key(), true, heartbeat.sequence()));
     }
   }
 
@@ -332,7 +334,8 @@
       registrations.announced(heartbeat);
       return;
     }
-    if (heartbeat.sequence() <= session.sequence) {
+    boolean isLate = heartbeat.sequence() < session.drainSequence;
+    if (isLate || heartbeat.sequence() <= session.sequence) {
       return;
     }
     // A new leader has not yet moved the runs of a worker that was draining before its term.
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -40,6 +40,10 @@
   private Resources used = Resources.NONE;
   private Resources reserved = Resources.NONE;
   long sequence = -1;
+
+  /** Sequence number of the heartbeat that the drain in the log rests on; 0 for none. */
+  long drainSequence;
+
   boolean draining;
   long drainEndMillis;
 
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/DrainCommandsTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/DrainCommandsTest.java
@@ -19,6 +19,10 @@
   private final ScopeLedger ledger = new ScopeLedger(1_000);
 
   private static WorkerHeartbeat heartbeat(long bornMillis, boolean isDraining) {
+    return heartbeat(bornMillis, isDraining, 1);
+  }
+
+  private static WorkerHeartbeat heartbeat(long bornMillis, boolean isDraining, long sequence) {
     WorkerInfo info =
         new WorkerInfo(
             new WorkerKey(new TargetId("w1"), bornMillis),
@@ -28,7 +32,7 @@
             new Resources(8_000, 8_000, 8),
             List.of(),
             "r1");
-    return new WorkerHeartbeat(info, 1, isDraining, 0, 0);
+    return new WorkerHeartbeat(info, sequence, isDraining, 0, 0);
   }
 
   private void acknowledge(WorkerHeartbeat heartbeat) {
@@ -52,7 +56,29 @@
   @Test
   void cancelledDrainIsRecorded() {
     acknowledge(heartbeat(EARLIER, true));
-    acknowledge(heartbeat(EARLIER, false));
+    acknowledge(heartbeat(EARLIER, false, 2));
+    assertThat(isDraining(EARLIER)).isFalse();
+  }
+
+  /**
+   * Guards against DRAIN: an earlier heartbeat that arrived late, after a change of leader, undid a
+   * drain that had been acknowledged.
+   */
+  @Test
+  void lateHeartbeatDoesNotUndoTheDrain() {
+    acknowledge(heartbeat(EARLIER, false, 3));
+    acknowledge(heartbeat(EARLIER, true, 5));
+    acknowledge(heartbeat(EARLIER, false, 4));
+    assertThat(isDraining(EARLIER)).isTrue();
+  }
+
+  @Test
+  void lateHeartbeatDoesNotUndoTheDrainAfterSnapshot() {
+    acknowledge(heartbeat(EARLIER, true, 5));
+    ledger.restore(ledger.snapshot());
+    acknowledge(heartbeat(EARLIER, false, 4));
+    assertThat(isDraining(EARLIER)).isTrue();
+    acknowledge(heartbeat(EARLIER, false, 6));
     assertThat(isDraining(EARLIER)).isFalse();
   }
 
