Jobs of a queue that was given another name stay reachable

GET and DELETE of an accepted job were answered 410, and its tasks went on.

Cause: a job is found under the name of its queue only. So the job stays readable and cancellable for its owner.

Change: jobs of a queue that is not configured any more move to the queue that has its address, with that one's priority and service. While a queue of their name is configured they stay with it.

Added besides: a job that was authorized before the renaming and accepted after it.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobEntry.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobEntry.java
@@ -5,7 +5,6 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.stream.Stream;
-import org.primrosegauge.core.ServiceId;
 
 /**
  * State of a job in the ledger. Modified only by {@link ScopeLedger}.
@@ -54,7 +53,7 @@
   }
 
   /**
-   * Returns the job as accepted, with the service that its queue has now.
+   * Returns the job as accepted, with the name and the service that its queue has now.
    *
    * @since 0.2
    */
@@ -176,11 +175,10 @@
     allSteps().forEach(step -> backlog.adjust(step.spec(), step.pendingTasks()));
   }
 
-  /** Lets the workers of another service run the job, with the backlog of that service's queue. */
-  void moveTo(ServiceId pool, Backlog queueBacklog) {
+  /** Replaces the job by the same one in another queue, or with another service. */
+  void moveTo(ScopeJob moved) {
     detachBacklog();
-    job = job.withPool(pool);
-    attachBacklog(queueBacklog);
+    job = moved;
   }
 
   private void detachBacklog() {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobTable.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobTable.java
@@ -98,13 +98,8 @@
     jobs.put(entry.job().id(), entry);
     if (!entry.status().isFinal()) {
       unfinished.put(entry.job().id(), entry);
-      entry.attachBacklog(backlogOf(entry.job().pool(), entry.job().queue()));
-    }
-    if (entry.status() == JobStatus.QUEUED) {
-      queuedJobs
-          .computeIfAbsent(entry.job().queue(), queue -> new QueuedJobs())
-          .add(entry.job().submittedMillis());
     }
+    attach(entry);
     addIfPurgeable(entry);
   }
 
@@ -133,15 +128,28 @@
     addIfPurgeable(entry);
   }
 
-  /** Lets the workers of another service run a job that has not ended. */
-  void move(JobEntry entry, ServiceId pool) {
-    entry.moveTo(pool, backlogOf(pool, entry.job().queue()));
+  /** Moves a job to another queue or to another service. */
+  void move(JobEntry entry, QueueName queue, ServiceId pool) {
+    removeIfQueued(entry);
+    entry.moveTo(entry.job().withQueue(queue, pool));
+    attach(entry);
+  }
+
+  private void attach(JobEntry entry) {
+    if (!entry.status().isFinal()) {
+      entry.attachBacklog(backlogOf(entry.job()));
+    }
+    if (entry.status() == JobStatus.QUEUED) {
+      queuedJobs
+          .computeIfAbsent(entry.job().queue(), queue -> new QueuedJobs())
+          .add(entry.job().submittedMillis());
+    }
   }
 
-  private Backlog backlogOf(ServiceId pool, QueueName queue) {
+  private Backlog backlogOf(ScopeJob job) {
     return backlogs
-        .computeIfAbsent(pool, key -> new HashMap<>())
-        .computeIfAbsent(queue, key -> new Backlog());
+        .computeIfAbsent(job.pool(), pool -> new HashMap<>())
+        .computeIfAbsent(job.queue(), queue -> new Backlog());
   }
 
   /** No run of an ended job is opened any more, so each job becomes purgeable only once. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeConfiguration.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeConfiguration.java
@@ -64,6 +64,18 @@
     return ((QueueList) queues).find(name);
   }
 
+  /**
+   * Returns the queue with exactly this host and path prefix; empty if none has both.
+   *
+   * @since 0.4
+   */
+  public Optional<QueueSpec> queueAt(String host, String pathPrefix) {
+    return queues.stream()
+        .filter(queue -> queue.host().equalsIgnoreCase(host))
+        .filter(queue -> queue.pathPrefix().equals(pathPrefix))
+        .findFirst();
+  }
+
   /**
    * Returns the service whose workers run the jobs of a queue; empty if the queue is not configured
    * any more.
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
@@ -7,10 +7,10 @@
 import org.primrosegauge.core.ServiceId;
 
 /**
- * A job as accepted, with the service that its queue has now.
+ * A job as accepted, with the name and the service that its queue has now.
  *
  * @param id id chosen by the caller
- * @param queue queue to which it was submitted
+ * @param queue queue to which it was submitted, or the one that has taken that queue's place
  * @param pool service whose workers run it: that of its queue in the configuration in force, or the
  *     latest that the queue had if it is not configured any more
  * @param customer customer authenticated by its key; null on a public queue
@@ -39,13 +39,13 @@
   }
 
   /**
-   * Returns the same job with another service whose workers run it.
+   * Returns the same job in another queue, or with another service whose workers run it.
    *
    * @since 0.4
    */
-  public ScopeJob withPool(ServiceId newPool) {
+  public ScopeJob withQueue(QueueName newQueue, ServiceId newPool) {
     return new ScopeJob(
-        id, queue, newPool, customer, maxAttempts, submittedMillis, payload, steps, recurrence);
+        id, newQueue, newPool, customer, maxAttempts, submittedMillis, payload, steps, recurrence);
   }
 
   /**
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.JobId;
@@ -24,11 +26,20 @@
  */
 public final class ScopeLedger {
 
+  private static final Comparator<QueueName> BY_NAME = Comparator.comparing(QueueName::value);
+
   private final long retentionMillis;
   private final JobTable jobs = new JobTable();
   private final WorkerTable workers = new WorkerTable();
   private final Set<FailureDomainId> domainsOut = new TreeSet<>();
   private final RunTimes runTimes = new RunTimes();
+
+  /**
+   * The latest settings of the queues that are not configured any more, and still have jobs or were
+   * configured until now.
+   */
+  private final Map<QueueName, QueueSpec> removedQueues = new TreeMap<>(BY_NAME);
+
   private ScopeConfiguration configuration = ScopeConfiguration.NONE;
   private String content = "";
 
@@ -263,7 +274,13 @@
    */
   public ScopeSnapshot snapshot() {
     return ScopeSnapshot.of(
-        configuration, content, List.copyOf(domainsOut), workers.all(), jobs.all(), runTimes);
+        configuration,
+        content,
+        List.copyOf(removedQueues.values()),
+        List.copyOf(domainsOut),
+        workers.all(),
+        jobs.all(),
+        runTimes);
   }
 
   /**
@@ -277,6 +294,8 @@
     domainsOut.clear();
     configuration = snapshot.configuration();
     content = snapshot.content();
+    removedQueues.clear();
+    snapshot.removedQueues().forEach(queue -> removedQueues.put(queue.name(), queue));
     domainsOut.addAll(snapshot.domainsOut());
     for (ScopeSnapshot.WorkerState worker : snapshot.workers()) {
       WorkerRecord record = new WorkerRecord(worker.info(), worker.lastEnd());
@@ -295,31 +314,56 @@
 
   private void configure(ScopeCommand.Configure command) {
     if (command.configuration().revision().compareTo(configuration.revision()) > 0) {
+      // A job that was authorized under the former configuration may follow in the log.
+      Set<QueueName> kept = new HashSet<>();
+      for (QueueSpec queue : configuration.queues()) {
+        removedQueues.put(queue.name(), queue);
+        kept.add(queue.name());
+      }
       configuration = command.configuration();
       content = command.content();
+      configuration.queues().forEach(queue -> removedQueues.remove(queue.name()));
       moveJobs();
+      jobs.all().forEach(entry -> kept.add(entry.job().queue()));
+      removedQueues.keySet().retainAll(kept);
     }
   }
 
-  /** Moves the jobs of queues that the configuration in force sends to another service. */
+  /** Moves the jobs whose queue has another name or another service in the configuration. */
   private void moveJobs() {
-    for (JobEntry entry : jobs.unfinished()) {
-      ServiceId pool = poolOf(entry.job());
-      if (!pool.equals(entry.job().pool())) {
-        jobs.move(entry, pool);
+    for (JobEntry entry : jobs.all()) {
+      QueueName queue = queueOf(entry.job());
+      ServiceId pool = poolOf(queue, entry.job());
+      if (!queue.equals(entry.job().queue()) || !pool.equals(entry.job().pool())) {
+        jobs.move(entry, queue, pool);
       }
     }
   }
 
-  private ServiceId poolOf(ScopeJob job) {
-    return configuration.poolOf(job.queue()).orElse(job.pool());
+  /**
+   * Returns the queue that a job is in: its own while that is configured, otherwise the one that
+   * has taken the address under which callers reached it.
+   */
+  private QueueName queueOf(ScopeJob job) {
+    QueueSpec removed = removedQueues.get(job.queue());
+    return removed == null
+        ? job.queue()
+        : configuration
+            .queueAt(removed.host(), removed.pathPrefix())
+            .map(QueueSpec::name)
+            .orElse(job.queue());
+  }
+
+  private ServiceId poolOf(QueueName queue, ScopeJob job) {
+    return configuration.poolOf(queue).orElse(job.pool());
   }
 
   private void submit(ScopeJob job) {
     jobs.purgeEndedBefore(job.submittedMillis() - retentionMillis);
     if (jobs.get(job.id()) == null) {
       // The configuration may have changed since the job was authorized.
-      jobs.add(new JobEntry(job.withPool(poolOf(job))));
+      QueueName queue = queueOf(job);
+      jobs.add(new JobEntry(job.withQueue(queue, poolOf(queue, job))));
     }
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
@@ -14,6 +14,8 @@
  *
  * @param configuration configuration in force
  * @param content text of the configuration in force
+ * @param removedQueues latest settings of queues that are not configured any more; none in
+ *     snapshots of releases before 0.4
  * @param domainsOut domains that are out of service
  * @param workers worker incarnations
  * @param jobs jobs, in the order of their acceptance
@@ -23,13 +25,15 @@
 public record ScopeSnapshot(
     ScopeConfiguration configuration,
     String content,
+    List<QueueSpec> removedQueues,
     List<FailureDomainId> domainsOut,
     List<WorkerState> workers,
     List<JobState> jobs,
     List<RunTimes.QueueState> runTimes) {
 
-  /** Replaces missing run times. */
+  /** Replaces what earlier releases did not store. */
   public ScopeSnapshot {
+    removedQueues = removedQueues == null ? List.of() : List.copyOf(removedQueues);
     runTimes = runTimes == null ? List.of() : List.copyOf(runTimes);
   }
 
@@ -219,6 +223,7 @@
   static ScopeSnapshot of(
       ScopeConfiguration configuration,
       String content,
+      List<QueueSpec> removedQueues,
       List<FailureDomainId> domainsOut,
       Collection<WorkerRecord> workers,
       Collection<JobEntry> jobs,
@@ -226,6 +231,7 @@
     return new ScopeSnapshot(
         configuration,
         content,
+        removedQueues,
         domainsOut,
         workers.stream().map(WorkerState::of).toList(),
         jobs.stream().map(JobState::of).toList(),
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/LastingTaskTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/LastingTaskTest.java
@@ -193,6 +193,7 @@
             now.configuration(),
             now.content(),
             List.of(),
+            List.of(),
             now.workers(),
             List.of(former),
             now.runTimes()));
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/CallAuthorizerTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/CallAuthorizerTest.java
@@ -27,23 +27,33 @@
   private final CallAuthorizer authorizer = new CallAuthorizer(ledger);
 
   private void configure(long revision, String prefix, boolean isPublic, String keyOfFirst) {
-    QueueSpec queue =
-        new QueueSpec(
-            new QueueName("q"), HOST, prefix, new ServiceId("pool"), 1, 2, 2.0, 100, isPublic);
+    configure(revision, keyOfFirst, queue("q", prefix, isPublic));
+  }
+
+  private static QueueSpec queue(String name, String prefix, boolean isPublic) {
+    return new QueueSpec(
+        new QueueName(name), HOST, prefix, new ServiceId("pool"), 1, 2, 2.0, 100, isPublic);
+  }
+
+  private void configure(long revision, String keyOfFirst, QueueSpec... queues) {
     CustomerSpec first = new CustomerSpec(new CustomerId("c1"), List.of(keyOfFirst), 8);
     CustomerSpec second = new CustomerSpec(new CustomerId("c2"), List.of("other"), 8);
     ScopeConfiguration configuration =
         new ScopeConfiguration(
-            new Revision(revision), List.of(queue), List.of(first, second), 1_000);
+            new Revision(revision), List.of(queues), List.of(first, second), 1_000);
     ledger.apply(new ScopeCommand.Configure(configuration, "text"));
   }
 
   private void submit(String path, String key) throws InvalidInputException {
+    ledger.apply(submission(path, key));
+  }
+
+  private ScopeCommand submission(String path, String key) throws InvalidInputException {
     StepSpec step = StepSpec.builder(1).task(new Resources(1_000, 100, 1)).build();
     CallAuthorizer.Authorization authorization =
         authorizer.authorize(new CallerAddress(HOST, path, key));
     JobSubmission submission = new JobSubmission("payload", List.of(step), Recurrence.NONE);
-    ledger.apply(new ScopeCommand.Submit(authorizer.toJob(authorization.call(), submission, 0)));
+    return new ScopeCommand.Submit(authorizer.toJob(authorization.call(), submission, 0));
   }
 
   private boolean isFound(String path, String key) throws InvalidInputException {
@@ -85,6 +95,55 @@
     assertThat(isFound("/r/00aa", "k1")).isTrue();
   }
 
+  /**
+   * Guards against LOST and UNASKED: after the route at an address was given another name, jobs of
+   * the former name went on and could be neither seen nor cancelled there.
+   */
+  @Test
+  void jobIsFoundAfterItsQueueWasRenamed() throws InvalidInputException {
+    configure(1, "k1", queue("q", "/q/", false));
+    submit("/q/00aa", "k1");
+    configure(2, "k1", queue("renamed", "/q/", false));
+    assertThat(isFound("/q/00aa", "k1")).isTrue();
+    assertThat(isFound("/q/00aa", "other")).isFalse();
+    assertThat(ledger.queuedJobs(new QueueName("renamed"))).isEqualTo(1);
+    assertThat(ledger.queuedJobs(new QueueName("q"))).isEqualTo(0);
+  }
+
+  /** The same with a configuration between, a snapshot, and a second new name. */
+  @Test
+  void jobIsFoundAfterItsQueueWasRemovedAndAddedUnderAnotherName() throws InvalidInputException {
+    configure(1, "k1", queue("q", "/q/", false));
+    submit("/q/00aa", "k1");
+    configure(2, "k1", queue("unrelated", "/r/", false));
+    ledger.restore(ledger.snapshot());
+    configure(3, "k1", queue("unrelated", "/r/", false), queue("next", "/q/", false));
+    assertThat(isFound("/q/00aa", "k1")).isTrue();
+    assertThat(isFound("/r/00aa", "k1")).isFalse();
+    configure(4, "k1", queue("last", "/q/", false));
+    assertThat(isFound("/q/00aa", "k1")).isTrue();
+  }
+
+  /** The submission was authorized before the new name was applied. */
+  @Test
+  void jobThatIsAcceptedRightAfterTheRenamingIsFound() throws InvalidInputException {
+    configure(1, "k1", queue("q", "/q/", false));
+    ScopeCommand submission = submission("/q/00aa", "k1");
+    configure(2, "k1", queue("renamed", "/q/", false));
+    ledger.apply(submission);
+    assertThat(isFound("/q/00aa", "k1")).isTrue();
+  }
+
+  /** A queue keeps its jobs when another one takes its address. */
+  @Test
+  void jobFollowsTheNameOfItsQueueWhileThatIsConfigured() throws InvalidInputException {
+    configure(1, "k1", queue("q", "/q/", false));
+    submit("/q/00aa", "k1");
+    configure(2, "k1", queue("q", "/r/", false), queue("other", "/q/", false));
+    assertThat(isFound("/r/00aa", "k1")).isTrue();
+    assertThat(isFound("/q/00aa", "k1")).isFalse();
+  }
+
   /** Guards against jobs that are visible to other customers. */
   @Test
   void jobOfAnotherCustomerIsNotFound() throws InvalidInputException {
