--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
@@ -186,11 +186,6 @@
     }
   }
 
-  /** Tells whether a demand is for the first step of an occurrence of which nothing has started. */
-  private static boolean isOfWaitingOccurrence(Demand demand) {
-    return demand.key().step() == 0 && demand.tasks().size() == demand.spec().count();
-  }
-
   private void collect(
       JobEntry entry,
       int occurrence,
@@ -217,6 +212,11 @@
     }
   }
 
+  /** Tells whether a demand is for the first step of an occurrence of which nothing has started. */
+  private static boolean isOfWaitingOccurrence(Demand demand) {
+    return demand.key().step() == 0 && demand.tasks().size() == demand.spec().count();
+  }
+
   private boolean isBackingOff(StepKey key, long nowMillis) {
     long until = state.notBefore.getOrDefault(key, 0L);
     if (until <= nowMillis) {
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/PastOccurrencesTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/PastOccurrencesTest.java
@@ -78,7 +78,7 @@
   }
 
   @Test
-  void laterOccurrencesBeginWhileAStepOfEarlierOnesCannotRun() {
+  void laterOccurrencesBeginWhileEarlierOnesWaitForWorkers() {
     StepSpec impossible =
         StepSpec.builder(1).task(SMALL).requiredLabel("none").dependsOn(List.of(0)).build();
     scope.submit("past", 2, 0, new Recurrence(0, 1, 500), step(1), impossible);
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/LastingTaskTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/LastingTaskTest.java
@@ -138,7 +138,7 @@
 
   @ParameterizedTest
   @EnumSource(RunOutcome.class)
-  void gangIsStartedAgainHoweverTheRunOfAMemberEnds(RunOutcome outcome) {
+  void gangIsStartedAgainHoweverTheRunOfOneMemberEnds(RunOutcome outcome) {
     start(true);
     end(running.keySet().iterator().next(), outcome);
     waitForRetry();
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/MovedQueueTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/MovedQueueTest.java
@@ -103,7 +103,7 @@
     start();
     fixture.submit("job", CoreFixture.step(1));
     workersOfNextStarts();
-    RunId run =
+    final RunId run =
         fixture.ledger.worker(FORMER_WORKER.key()).orElseThrow().openRuns().iterator().next();
     sendQueueTo(NEXT);
     assertThat(workersOfNextStarts()).isEmpty();
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/CallAuthorizerTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/CallAuthorizerTest.java
@@ -26,15 +26,15 @@
   private final ScopeLedger ledger = new ScopeLedger(60_000);
   private final CallAuthorizer authorizer = new CallAuthorizer(ledger);
 
-  private void configure(long revision, String prefix, boolean isPublic, String keyOfFirst) {
-    configure(revision, keyOfFirst, queue("q", prefix, isPublic));
-  }
-
   private static QueueSpec queue(String name, String prefix, boolean isPublic) {
     return new QueueSpec(
         new QueueName(name), HOST, prefix, new ServiceId("pool"), 1, 2, 2.0, 100, isPublic);
   }
 
+  private void configure(long revision, String prefix, boolean isPublic, String keyOfFirst) {
+    configure(revision, keyOfFirst, queue("q", prefix, isPublic));
+  }
+
   private void configure(long revision, String keyOfFirst, QueueSpec... queues) {
     CustomerSpec first = new CustomerSpec(new CustomerId("c1"), List.of(keyOfFirst), 8);
     CustomerSpec second = new CustomerSpec(new CustomerId("c2"), List.of("other"), 8);
