A job id that belongs to another queue or customer is refused

Cause: a submission whose id is known was taken for a repetition, whatever queue and customer the known job belongs to. Tasks are named by the id of their job alone (PROTOCOL: ID.K.STEP.INDEX), so both cannot be stored.

Change: it is a repetition only in the same queue and not by another customer; otherwise it is refused with 409, reason ID_IN_USE, at the edge and, for proposals in flight at once, when the log applies it.

Evidence: ScopeInstanceTest.idOfJobInAnotherQueueIsRefused failed before (with another refusal in place of the new one, which did not exist: Done).

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
@@ -38,6 +38,18 @@
     steps = List.copyOf(steps);
   }
 
+  /**
+   * Returns whether a submission may be a repetition of this one: the same id in the same queue,
+   * and not by another customer. On a public queue the customer need not be known each time.
+   *
+   * @since 0.4
+   */
+  public boolean isSameAs(ScopeJob other) {
+    return id.equals(other.id)
+        && queue.equals(other.queue)
+        && (customer == null || other.customer == null || customer.equals(other.customer));
+  }
+
   /**
    * Returns the same job in another queue, or with another service whose workers run it.
    *
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -244,7 +244,7 @@
     if (command instanceof ScopeCommand.Configure configure) {
       configure(configure);
     } else if (command instanceof ScopeCommand.Submit submit) {
-      submit(submit.job());
+      return submit(submit.job());
     } else if (command instanceof ScopeCommand.Cancel cancel) {
       return cancel(cancel);
     } else if (command instanceof ScopeCommand.SwitchDomain switchDomain) {
@@ -358,13 +358,18 @@
     return configuration.poolOf(queue).orElse(job.pool());
   }
 
-  private void submit(ScopeJob job) {
+  private ScopeResult submit(ScopeJob job) {
     jobs.purgeEndedBefore(job.submittedMillis() - retentionMillis);
-    if (jobs.get(job.id()) == null) {
-      // The configuration may have changed since the job was authorized.
-      QueueName queue = queueOf(job);
-      jobs.add(new JobEntry(job.withQueue(queue, poolOf(queue, job))));
+    // The configuration may have changed since the job was authorized.
+    QueueName queue = queueOf(job);
+    ScopeJob moved = job.withQueue(queue, poolOf(queue, job));
+    JobEntry known = jobs.get(job.id());
+    if (known == null) {
+      jobs.add(new JobEntry(moved));
     }
+    return known == null || known.job().isSameAs(moved)
+        ? ScopeResult.APPLIED
+        : ScopeResult.ID_IN_USE;
   }
 
   private ScopeResult cancel(ScopeCommand.Cancel command) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeResult.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeResult.java
@@ -9,5 +9,7 @@
   /** The command took effect, or had no effect because the state already reflected it. */
   APPLIED,
   /** The command refers to an unknown job. */
-  UNKNOWN_JOB
+  UNKNOWN_JOB,
+  /** The id of the submitted job belongs to a job of another queue or customer. */
+  ID_IN_USE
 }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
@@ -16,6 +16,8 @@
   UNKNOWN_JOB,
   /** The id of the job is malformed. */
   BAD_ID,
+  /** The id belongs to a job of another queue or customer; the submission was not accepted. */
+  ID_IN_USE,
   /** The leader is overloaded; the call was not executed. */
   OVERLOADED,
   /** The request is larger than an entry of the log may be, and was not executed. */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
@@ -301,10 +301,13 @@
     if (authorization.refusal() != null) {
       return refuse(authorization.refusal(), submit.address());
     }
-    if (ledger.job(authorizer.toJob(authorization.call(), submit.job(), 0).id()).isPresent()) {
-      return Mono.just(new ScopeMessage.Done());
-    }
     ScopeJob job = authorizer.toJob(authorization.call(), submit.job(), wallClock.nowMillis());
+    Optional<JobEntry> known = ledger.job(job.id());
+    if (known.isPresent()) {
+      return known.get().job().isSameAs(job)
+          ? Mono.just(new ScopeMessage.Done())
+          : refuse(ScopeRefusal.ID_IN_USE, submit.address());
+    }
     if (isStale) {
       // An earlier attempt may have proposed the same job.
       return Mono.just(
@@ -417,7 +420,13 @@
       events.tooLarge(command, bytes.length);
       return Mono.just(new ScopeMessage.Refused(ScopeRefusal.TOO_LARGE));
     }
-    return log.propose(bytes).map(result -> new ScopeMessage.Done());
+    return log.propose(bytes).map(ScopeReplica::answerTo);
+  }
+
+  private static Answer answerTo(ScopeResult result) {
+    return result == ScopeResult.ID_IN_USE
+        ? new ScopeMessage.Refused(ScopeRefusal.ID_IN_USE)
+        : new ScopeMessage.Done();
   }
 
   private void admit(ScopeMessage.Join join) {
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
@@ -129,12 +129,25 @@
   /** Parses a configuration whose text consists of its revision and an API key. */
   private static ScopeConfiguration parse(String content) {
     String[] words = content.split(" ");
-    QueueSpec queue =
-        new QueueSpec(
-            new QueueName("q"), "host", "/q/", new ServiceId("pool"), 1, 2, 2.0, 100, false);
     CustomerSpec customer = new CustomerSpec(new CustomerId("c"), List.of(words[1]), 8);
     return new ScopeConfiguration(
-        new Revision(Long.parseLong(words[0])), List.of(queue), List.of(customer), 1_000);
+        new Revision(Long.parseLong(words[0])),
+        List.of(queue("q"), queue("other")),
+        List.of(customer),
+        1_000);
+  }
+
+  private static QueueSpec queue(String name) {
+    return new QueueSpec(
+        new QueueName(name),
+        "host",
+        "/" + name + "/",
+        new ServiceId("pool"),
+        1,
+        2,
+        2.0,
+        100,
+        false);
   }
 
   private void sendHeartbeat() throws Exception {
@@ -209,6 +222,17 @@
         .isEqualTo(new ScopeMessage.Refused(ScopeRefusal.UNKNOWN_JOB));
   }
 
+  /** Guards against LOST: the second job was acknowledged and never stored. */
+  @Test
+  void idOfJobInAnotherQueueIsRefused() throws Exception {
+    configure();
+    askUntil(new ScopeMessage.Submit(JOB, job()), ScopeMessage.Done.class);
+    CallerAddress sameId = new CallerAddress("host", "/other/00aa", "k1");
+    assertThat(ask(new ScopeMessage.Submit(sameId, job())))
+        .isEqualTo(new ScopeMessage.Refused(ScopeRefusal.ID_IN_USE));
+    assertThat(ask(new ScopeMessage.Submit(JOB, job()))).isEqualTo(new ScopeMessage.Done());
+  }
+
   @Test
   void acceptedJobAndConfigurationSurviveLeaderLoss() throws Exception {
     configure();
