--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/CoreFixture.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/CoreFixture.java
@@ -18,6 +18,7 @@
 import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeJob;
 import org.primrosegauge.core.scope.ScopeLedger;
+import org.primrosegauge.core.scope.StartResult;
 import org.primrosegauge.core.scope.StepSpec;
 import org.primrosegauge.core.scope.WorkerHeartbeat;
 import org.primrosegauge.core.scope.WorkerInfo;
@@ -64,6 +65,23 @@
     answerPoll(worker, new PollResult(PollResult.Kind.REPORT, nowMillis, List.of(), List.of()));
   }
 
+  /** Starts leading with one worker, submits a job of one task and places it there. */
+  RunId placeRun(WorkerInfo worker) {
+    startLeading(1);
+    registerAndPoll(worker);
+    submit("job", step(1));
+    plan();
+    commitAll();
+    return take(ScopeAction.Start.class).get(0).run();
+  }
+
+  /** The same, and the worker starts the run. */
+  RunId startRun(WorkerInfo worker) {
+    RunId run = placeRun(worker);
+    core.handleStartResult(run, StartResult.STARTED, nowMillis, now());
+    return run;
+  }
+
   void heartbeat(WorkerInfo worker, boolean isDraining) {
     WorkerHeartbeat heartbeat =
         new WorkerHeartbeat(worker, ++sequence, isDraining, isDraining ? 3_000 : 0, nowMillis);
