The starts of a large batch have time to arrive one after another

All starts of a batch had the 2 s that a single one has, counted from the placement. Since they queue they arrive as fast as the worker responds, here 8 ms each, 2.0 s in all; one that is rejected stops the whole gang, though the bound is 2.9 s.

Change: each start of a batch to one worker has 12 ms more than the one before it, up to the lease that each poll grants anyway. Up to 12 tasks on a worker the difference is below 150 ms.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/PlacementBatch.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/PlacementBatch.java
@@ -1,7 +1,9 @@
 package org.primrosegauge.core.scope.impl;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.primrosegauge.core.scope.ClockReading;
 import org.primrosegauge.core.scope.Placement;
 import org.primrosegauge.core.scope.RunId;
@@ -16,8 +18,12 @@
  */
 final class PlacementBatch {
 
+  /** Time that a worker may take for each start of a batch, in milliseconds. */
+  private static final long START_PACE_MILLIS = 12;
+
   private final ScopeState state;
   private final List<Placement> placements = new ArrayList<>();
+  private final Map<WorkerSession, Integer> startsByWorker = new HashMap<>();
 
   PlacementBatch(ScopeState state) {
     this.state = state;
@@ -64,6 +70,7 @@
       state.propose(new ScopeCommand.Place(List.copyOf(placements)));
       placements.clear();
     }
+    startsByWorker.clear();
   }
 
   private RunState add(
@@ -80,12 +87,22 @@
             RunState.Phase.PROPOSED,
             nowMillis);
     run.isObservable = isLocal && isFresh(demand, index);
-    run.startDeadline = worker.clockAt(nowMillis) + state.settings.startWindowMillis();
+    run.startDeadline = worker.clockAt(nowMillis) + startWindowMillis(worker);
     state.addProposed(run);
     placements.add(new Placement(id, worker.info.key()));
     return run;
   }
 
+  /**
+   * Returns the time within which the next start on a worker has to arrive, in milliseconds. The
+   * starts of one batch follow each other as fast as their worker responds.
+   */
+  private long startWindowMillis(WorkerSession worker) {
+    int position = startsByWorker.merge(worker, 1, Integer::sum);
+    long windowMillis = state.settings.startWindowMillis() + position * START_PACE_MILLIS;
+    return Math.min(windowMillis, state.settings.leaseMillis());
+  }
+
   private void rollBack(RunState run) {
     placements.removeIf(placement -> placement.run().equals(run.id));
     state.removeProposed(run.id);
