A call in flight at a lost leader finds the next one in time

Callers of an instance whose leader was lost with their call in flight got no response within 0.3 s of the next election, and near their timeout a 504 that they can't repeat.

Cause: the other voters name the lost leader until they know the next one. The request took that for its leader and looked again only after 0.6 s. Besides, a search that ended while no leader was known left it without a planned retry.

Now it searches every 0.1 s while the leader it was sent to doesn't respond, also if none is known; searches are shared as before. The delays of retries are drawn by RetryJitter, so that the test has a fixed verdict.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/LeaderRequest.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/LeaderRequest.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import org.primrosegauge.core.InstanceId;
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.scope.ScopeMessage.Answer;
@@ -56,7 +55,10 @@
   /** Time without any response after which an instance counts as suspended or unreachable. */
   private static final long RESPONSIVE_MILLIS = 1_000;
 
-  /** Interval at which the effective deadline is re-evaluated, since it changes over time. */
+  /**
+   * Interval at which a request in flight is checked: its effective deadline changes over time, and
+   * the leader that received it may have become unresponsive.
+   */
   private static final long RECHECK_MILLIS = 100;
 
   /** Time over which waiting requests are spread once a leader is found, in milliseconds. */
@@ -123,6 +125,7 @@
 
   private final LeaderTracker tracker;
   private final MonotonicClock clock;
+  private final RetryJitter jitter;
   private final Question request;
   private final long startMillis;
   private final long deadlineMillis;
@@ -133,9 +136,15 @@
   private boolean isRetryScheduled;
   private boolean isDone;
 
-  LeaderRequest(LeaderTracker tracker, MonotonicClock clock, Question request, Duration wait) {
+  LeaderRequest(
+      LeaderTracker tracker,
+      MonotonicClock clock,
+      RetryJitter jitter,
+      Question request,
+      Duration wait) {
     this.tracker = tracker;
     this.clock = clock;
+    this.jitter = jitter;
     this.request = request;
     this.startMillis = clock.nowMillis();
     this.deadlineMillis = startMillis + wait.toMillis();
@@ -202,15 +211,20 @@
     scheduleRetry();
   }
 
-  /** Searches for another leader if the instance is unresponsive: it may have been replaced. */
+  /**
+   * Searches for another leader while the instance is unresponsive: it may have been replaced. The
+   * others name the lost leader until they know the next one, so they are asked again and again.
+   */
   private void searchIfUnresponsive(InstanceId instance) {
     if (!isInFlightAt(instance)) {
       return;
     }
-    runAfter(SEARCH_DELAY_MILLIS, () -> searchIfUnresponsive(instance));
+    runAfter(RECHECK_MILLIS, () -> searchIfUnresponsive(instance));
     boolean isUnresponsive =
         !tracker.hasRespondedSince(instance, clock.nowMillis() - SEARCH_DELAY_MILLIS);
-    if (isUnresponsive && instance.equals(tracker.leader())) {
+    InstanceId known = tracker.leader();
+    boolean isReplaced = known != null && !known.equals(instance);
+    if (isUnresponsive && !isReplaced) {
       tracker.instanceFailed(instance);
       scheduleRetry();
     }
@@ -238,7 +252,7 @@
         return;
       }
       isRetryScheduled = true;
-      delay = backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis / 2 + 1);
+      delay = backoffMillis / 2 + jitter.drawMillis(backoffMillis / 2);
       backoffMillis = Math.min(MAX_BACKOFF_MILLIS, 2 * backoffMillis);
     }
     boolean isLeaderUnknown = tracker.leader() == null;
@@ -258,9 +272,7 @@
 
   /** Returns a short random delay if the search found a leader, to spread the waiting requests. */
   private long delayAfterSearch(long delay) {
-    return tracker.leader() == null
-        ? delay
-        : ThreadLocalRandom.current().nextLong(LEADER_FOUND_JITTER_MILLIS + 1);
+    return tracker.leader() == null ? delay : jitter.drawMillis(LEADER_FOUND_JITTER_MILLIS);
   }
 
   private synchronized void retryStarted() {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeClient.java
@@ -71,6 +71,7 @@
   private final InstanceId self;
   private final RequestSender sender;
   private final MonotonicClock clock;
+  private final RetryJitter jitter;
   private final AtomicReference<Set<InstanceId>> seeds = new AtomicReference<>(Set.of());
   private final AtomicReference<Set<InstanceId>> members = new AtomicReference<>(Set.of());
   private volatile ScopeReplica localReplica;
@@ -94,9 +95,19 @@
    */
   public ScopeClient(
       InstanceId self, RequestSender sender, MonotonicClock clock, List<InstanceId> seeds) {
+    this(self, sender, clock, seeds, RetryJitter.RANDOM);
+  }
+
+  ScopeClient(
+      InstanceId self,
+      RequestSender sender,
+      MonotonicClock clock,
+      List<InstanceId> seeds,
+      RetryJitter jitter) {
     this.self = self;
     this.sender = sender;
     this.clock = clock;
+    this.jitter = jitter;
     this.createdMillis = clock.nowMillis();
     this.search = new LeaderSearch(this::askLeader, this::leaderInfoReceived, clock);
     seeds(seeds);
@@ -183,7 +194,7 @@
    * @since 0.2
    */
   public Mono<Answer> ask(Question request, Duration timeout) {
-    return Mono.defer(() -> new LeaderRequest(tracker, clock, request, timeout).response());
+    return Mono.defer(() -> new LeaderRequest(tracker, clock, jitter, request, timeout).response());
   }
 
   /**
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
@@ -6,8 +6,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -320,6 +323,42 @@
     assertThat(response.get()).isInstanceOf(ScopeMessage.Done.class);
   }
 
+  /**
+   * The next leader was found up to half a second late, because the other voters were not asked
+   * again while they still named the lost leader. Whether the call failed depended on the jitter of
+   * its retries, so all moments are tried with each of several sequences of jitter.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void nextLeaderIsFoundLateWhileOthersStillNameLostLeader(long seed) {
+    Map<Long, Answer> responses = new TreeMap<>();
+    for (long electedAfter = 700; electedAfter <= 2_500; electedAfter += 50) {
+      VirtualTimeScheduler.reset();
+      begin();
+      suspended = null;
+      RandomGenerator random = new SplittableRandom(seed);
+      responses.put(
+          electedAfter, responseAfterElection(electedAfter, most -> random.nextLong(most + 1)));
+    }
+    responses.values().removeIf(ScopeMessage.Done.class::isInstance);
+    assertThat(responses).isEmpty();
+  }
+
+  /** Returns the response to a write that a leader received when it was lost; null if none. */
+  private Answer responseAfterElection(long electedAfterMillis, RetryJitter jitter) {
+    voters = List.of(FIRST, SECOND, THIRD);
+    ScopeClient client =
+        new ScopeClient(SELF, this::ask, this::now, List.of(FIRST, SECOND), jitter);
+    client.tick(now());
+    suspended = FIRST;
+    AtomicReference<Answer> response = new AtomicReference<>();
+    client.ask(WRITE, CALLER_TIMEOUT).subscribe(response::set);
+    advance(client, electedAfterMillis);
+    leader = SECOND;
+    advance(client, 300);
+    return response.get();
+  }
+
   /** If all members of the log are down, the caller is told while it can still turn elsewhere. */
   @Test
   void writeOfUnknownOutcomeEndsEarlyWithoutQuorum() {
