--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobEntry.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/JobEntry.java
@@ -71,7 +71,8 @@
   }
 
   /**
-   * Returns the time when the job ended, in milliseconds since 1970; 0 if it has not ended.
+   * Returns when the job ended, by the clock that tells for how long it is kept; 0 if it has not
+   * ended.
    *
    * @since 0.2
    */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -33,6 +33,7 @@
   private final WorkerTable workers = new WorkerTable();
   private final Set<FailureDomainId> domainsOut = new TreeSet<>();
   private final RunTimes runTimes = new RunTimes();
+  private final RetentionClock retentionClock = new RetentionClock();
 
   /**
    * The latest settings of the queues that are not configured any more, and still have jobs or were
@@ -280,7 +281,8 @@
         List.copyOf(domainsOut),
         workers.all(),
         jobs.all(),
-        runTimes);
+        runTimes,
+        retentionClock);
   }
 
   /**
@@ -310,6 +312,7 @@
     // Releases before 0.4 left jobs with the service that their queue had when they came.
     moveJobs();
     runTimes.restore(snapshot.runTimes());
+    retentionClock.restore(snapshot.retention());
   }
 
   private void configure(ScopeCommand.Configure command) {
@@ -359,7 +362,8 @@
   }
 
   private ScopeResult submit(ScopeJob job) {
-    jobs.purgeEndedBefore(job.submittedMillis() - retentionMillis);
+    retentionClock.advance(job.submittedMillis());
+    jobs.purgeEndedBefore(retentionClock.nowMillis() - retentionMillis);
     // The configuration may have changed since the job was authorized.
     QueueName queue = queueOf(job);
     ScopeJob moved = job.withQueue(queue, poolOf(queue, job));
@@ -378,7 +382,8 @@
       return ScopeResult.UNKNOWN_JOB;
     }
     if (!entry.status().isFinal()) {
-      jobs.end(entry, JobStatus.CANCELLED, command.atMillis());
+      retentionClock.advance(command.atMillis());
+      jobs.end(entry, JobStatus.CANCELLED, retentionClock.nowMillis());
     }
     return ScopeResult.APPLIED;
   }
@@ -429,7 +434,8 @@
         changed.add(end.run().task().job());
       }
     }
-    changed.forEach(job -> updateStatus(jobs.get(job), command.atMillis()));
+    retentionClock.advance(command.atMillis());
+    changed.forEach(job -> updateStatus(jobs.get(job)));
   }
 
   private void closeRun(WorkerRecord worker, RunEnd end) {
@@ -478,7 +484,7 @@
     }
   }
 
-  private void updateStatus(JobEntry entry, long atMillis) {
+  private void updateStatus(JobEntry entry) {
     if (entry.status().isFinal()) {
       return;
     }
@@ -487,7 +493,7 @@
         new ArrayList<>(entry.occurrences().entrySet())) {
       List<StepRecord> steps = activeOccurrence.getValue();
       if (steps.stream().anyMatch(step -> step.hasFailed(maxAttempts))) {
-        jobs.end(entry, JobStatus.FAILED, atMillis);
+        jobs.end(entry, JobStatus.FAILED, retentionClock.nowMillis());
         return;
       }
       boolean isDone = steps.stream().allMatch(StepRecord::isDone);
@@ -496,7 +502,7 @@
       }
     }
     if (entry.isDone()) {
-      jobs.end(entry, JobStatus.COMPLETED, atMillis);
+      jobs.end(entry, JobStatus.COMPLETED, retentionClock.nowMillis());
     }
   }
 
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
@@ -20,6 +20,7 @@
  * @param workers worker incarnations
  * @param jobs jobs, in the order of their acceptance
  * @param runTimes run times observed in each queue; none in snapshots of releases before 0.4
+ * @param retention time by which ended jobs expire; not started in snapshots of releases before 0.4
  * @since 0.2
  */
 public record ScopeSnapshot(
@@ -29,14 +30,25 @@
     List<FailureDomainId> domainsOut,
     List<WorkerState> workers,
     List<JobState> jobs,
-    List<RunTimes.QueueState> runTimes) {
+    List<RunTimes.QueueState> runTimes,
+    RetentionState retention) {
 
   /** Replaces what earlier releases did not store. */
   public ScopeSnapshot {
     removedQueues = removedQueues == null ? List.of() : List.copyOf(removedQueues);
     runTimes = runTimes == null ? List.of() : List.copyOf(runTimes);
+    retention = retention == null ? new RetentionState(0, 0) : retention;
   }
 
+  /**
+   * State of the clock by which ended jobs expire.
+   *
+   * @param nowMillis its time, in milliseconds; 0 if it has not started
+   * @param wallMillis time of the latest command, in milliseconds since 1970
+   * @since 0.4
+   */
+  public record RetentionState(long nowMillis, long wallMillis) {}
+
   /**
    * State of a worker incarnation.
    *
@@ -78,7 +90,7 @@
    * @param begunOccurrences number of occurrences that have begun; 0 also in snapshots of releases
    *     before 0.4
    * @param openRuns number of runs that may still be active
-   * @param endedMillis time when the job ended, in milliseconds since 1970; 0 if it has not ended
+   * @param endedMillis time of the retention clock when the job ended; 0 if it has not ended
    * @param occurrences occurrences that have begun and are not done
    * @since 0.2
    */
@@ -227,7 +239,8 @@
       List<FailureDomainId> domainsOut,
       Collection<WorkerRecord> workers,
       Collection<JobEntry> jobs,
-      RunTimes runTimes) {
+      RunTimes runTimes,
+      RetentionClock retention) {
     return new ScopeSnapshot(
         configuration,
         content,
@@ -235,6 +248,7 @@
         domainsOut,
         workers.stream().map(WorkerState::of).toList(),
         jobs.stream().map(JobState::of).toList(),
-        runTimes.snapshot());
+        runTimes.snapshot(),
+        retention.snapshot());
   }
 }
