A gang no longer reserves workers for runs that are long overdue

Their remaining time is 0, so the reservation began at once, and for as long as they went on.

An end is expected up to twice the expected run time; after that it isn't known, and the run releases nothing. Strictly, no end is ahead once a run is over its estimate; the estimate is a median, so half of the runs are, and a gang would then starve behind a stream of small tasks.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/BackfillReservations.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/BackfillReservations.java
@@ -14,8 +14,8 @@
  * Reserves workers for gangs that wait for capacity until enough of the runs on these workers have
  * ended.
  *
- * <p>A reservation rests on the ends of runs that are expected; a gang that waits for room held by
- * long-running tasks reserves nothing.
+ * <p>A reservation rests on the ends of runs that can be expected; a gang that waits for room held
+ * by long-running tasks, or by runs that are long overdue, reserves nothing.
  *
  * <p>Without reservations a stream of small tasks takes each slot as soon as it is free, and a gang
  * that needs all its slots at once starves. A step ranked behind such a gang may use the reserved
@@ -132,9 +132,8 @@
 
   private void addSlots(Demand gang, WorkerSession worker, long nowMillis, List<Slot> slots) {
     state.examined(1 + worker.runs.size());
-    // A long-running run has no end to wait for.
     List<RunState> runs = new ArrayList<>(worker.runs.values());
-    runs.removeIf(run -> run.spec.longRunning());
+    runs.removeIf(run -> !run.hasExpectedEnd(nowMillis));
     runs.sort(Comparator.comparingLong(run -> run.remainingMillis(nowMillis)));
     Resources released = Resources.NONE;
     Resources task = gang.spec().task();
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunState.java
@@ -18,6 +18,9 @@
 
   private static final int COMPLETE_PERCENT = 100;
 
+  /** Multiple of its expected run time up to which a run is expected to end soon. */
+  private static final int MAX_OVERRUN_FACTOR = 2;
+
   /** Progress from which on the remaining run time is estimated from it. */
   private static final int MIN_PROGRESS_PERCENT = 5;
 
@@ -154,10 +157,22 @@
    * the time at which it was reported.
    */
   long remainingMillis(long nowMillis) {
-    long elapsed = nowMillis - runningSinceMillis;
+    return Math.max(0, totalMillis() - (nowMillis - runningSinceMillis));
+  }
+
+  /**
+   * Tells whether the end of the run can be expected. A long-running run has none, and that of a
+   * run which takes several times as long as expected is not known.
+   */
+  boolean hasExpectedEnd(long nowMillis) {
+    return !spec.longRunning()
+        && nowMillis - runningSinceMillis <= MAX_OVERRUN_FACTOR * totalMillis();
+  }
+
+  /** Returns an estimate of the whole run time, in milliseconds. */
+  private long totalMillis() {
     long elapsedAtReport = progressMillis - runningSinceMillis;
     boolean isByProgress = hasProgress() && elapsedAtReport > 0;
-    long total = isByProgress ? elapsedAtReport * COMPLETE_PERCENT / percent : expectedMillis;
-    return Math.max(0, total - elapsed);
+    return isByProgress ? elapsedAtReport * COMPLETE_PERCENT / percent : expectedMillis;
   }
 }
