--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/review-3 ] && [ -d target/primrosegauge-platform ] || exit 2
-exec java -Xmx128m -XX:+UseSerialGC -cp target/review-3 PendingCase "$PWD" review/15/record.txt
+exec java -Xmx128m -XX:+UseSerialGC -cp target/review-3 FrozenFrontCase "$PWD" review/15/record.txt
