--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeCommand.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeCommand.java
@@ -1,6 +1,7 @@
 package org.primrosegauge.core.scope;
 
 import java.util.List;
+import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.JobId;
 
@@ -30,13 +31,24 @@
   record Submit(ScopeJob job) implements ScopeCommand {}
 
   /**
-   * Cancels a job.
+   * Cancels a job. If the job is unknown, its id is refused for a while, as its submission may
+   * follow in the log.
    *
    * @param job job
    * @param atMillis time of the cancellation, in milliseconds since 1970
+   * @param queue queue that the caller's path names; null in entries of releases before 0.4, which
+   *     cancel the job whatever its queue and customer, and have no effect on an unknown one
+   * @param customer customer of the caller's key; null without a known key on a public queue
    * @since 0.2
    */
-  record Cancel(JobId job, long atMillis) implements ScopeCommand {}
+  record Cancel(JobId job, long atMillis, QueueName queue, CustomerId customer)
+      implements ScopeCommand {
+
+    /** Creates a command as in an entry of a release before 0.4. */
+    public Cancel(JobId job, long atMillis) {
+      this(job, atMillis, null, null);
+    }
+  }
 
   /**
    * Takes a failure domain out of service, or back into service.
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeJob.java
@@ -45,9 +45,20 @@
    * @since 0.4
    */
   public boolean isSameAs(ScopeJob other) {
-    return id.equals(other.id)
-        && queue.equals(other.queue)
-        && (customer == null || other.customer == null || customer.equals(other.customer));
+    return id.equals(other.id) && isVisibleTo(other.queue, other.customer);
+  }
+
+  /**
+   * Returns whether a caller may see and cancel this job.
+   *
+   * @param callerQueue queue that the caller's path names
+   * @param caller customer of the caller's key; null without a known key, which only a public queue
+   *     allows
+   * @since 0.4
+   */
+  public boolean isVisibleTo(QueueName callerQueue, CustomerId caller) {
+    return queue.equals(callerQueue)
+        && (customer == null || caller == null || customer.equals(caller));
   }
 
   /**
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -34,6 +34,7 @@
   private final Set<FailureDomainId> domainsOut = new TreeSet<>();
   private final RunTimes runTimes = new RunTimes();
   private final RetentionClock retentionClock = new RetentionClock();
+  private final EarlyCancellations earlyCancellations = new EarlyCancellations();
 
   /**
    * The latest settings of the queues that are not configured any more, and still have jobs or were
@@ -47,7 +48,8 @@
   /**
    * Creates an empty ledger.
    *
-   * @param retentionMillis time for which a job is kept after it has ended, in milliseconds
+   * @param retentionMillis time for which a job is kept after it has ended, and for which an
+   *     unknown job that was cancelled is refused, in milliseconds
    * @since 0.2
    */
   public ScopeLedger(long retentionMillis) {
@@ -108,6 +110,16 @@
     return Optional.ofNullable(jobs.get(id));
   }
 
+  /**
+   * Returns whether a job that is unknown was cancelled recently, so that its submission is
+   * refused.
+   *
+   * @since 0.4
+   */
+  public boolean wasCancelledEarly(ScopeJob job) {
+    return earlyCancellations.contains(job);
+  }
+
   /**
    * Returns the worker incarnations that are not known to have ended.
    *
@@ -282,7 +294,8 @@
         workers.all(),
         jobs.all(),
         runTimes,
-        retentionClock);
+        retentionClock,
+        earlyCancellations);
   }
 
   /**
@@ -309,6 +322,7 @@
     for (ScopeSnapshot.JobState state : snapshot.jobs()) {
       jobs.add(state.toEntry());
     }
+    earlyCancellations.restore(snapshot.cancellations());
     // Releases before 0.4 left jobs with the service that their queue had when they came.
     moveJobs();
     runTimes.restore(snapshot.runTimes());
@@ -328,14 +342,19 @@
       configuration.queues().forEach(queue -> removedQueues.remove(queue.name()));
       moveJobs();
       jobs.all().forEach(entry -> kept.add(entry.job().queue()));
+      kept.addAll(earlyCancellations.queues());
       removedQueues.keySet().retainAll(kept);
     }
   }
 
-  /** Moves the jobs whose queue has another name or another service in the configuration. */
+  /**
+   * Moves the jobs whose queue has another name or another service in the configuration, and the
+   * cancellations of such queues.
+   */
   private void moveJobs() {
+    earlyCancellations.moveQueues(this::currentQueue);
     for (JobEntry entry : jobs.all()) {
-      QueueName queue = queueOf(entry.job());
+      QueueName queue = currentQueue(entry.job().queue());
       ServiceId pool = poolOf(queue, entry.job());
       if (!queue.equals(entry.job().queue()) || !pool.equals(entry.job().pool())) {
         jobs.move(entry, queue, pool);
@@ -344,17 +363,17 @@
   }
 
   /**
-   * Returns the queue that a job is in: its own while that is configured, otherwise the one that
-   * has taken the address under which callers reached it.
+   * Returns the queue that has the place of another one: that one itself while it is configured,
+   * otherwise the one that has taken the address under which callers reached it.
    */
-  private QueueName queueOf(ScopeJob job) {
-    QueueSpec removed = removedQueues.get(job.queue());
+  private QueueName currentQueue(QueueName queue) {
+    QueueSpec removed = removedQueues.get(queue);
     return removed == null
-        ? job.queue()
+        ? queue
         : configuration
             .queueAt(removed.host(), removed.pathPrefix())
             .map(QueueSpec::name)
-            .orElse(job.queue());
+            .orElse(queue);
   }
 
   private ServiceId poolOf(QueueName queue, ScopeJob job) {
@@ -362,24 +381,37 @@
   }
 
   private ScopeResult submit(ScopeJob job) {
-    retentionClock.advance(job.submittedMillis());
-    jobs.purgeEndedBefore(retentionClock.nowMillis() - retentionMillis);
+    advanceRetention(job.submittedMillis());
     // The configuration may have changed since the job was authorized.
-    QueueName queue = queueOf(job);
+    QueueName queue = currentQueue(job.queue());
     ScopeJob moved = job.withQueue(queue, poolOf(queue, job));
     JobEntry known = jobs.get(job.id());
-    if (known == null) {
-      jobs.add(new JobEntry(moved));
+    if (known != null) {
+      return known.job().isSameAs(moved) ? ScopeResult.APPLIED : ScopeResult.ID_IN_USE;
+    }
+    if (earlyCancellations.contains(moved)) {
+      return ScopeResult.CANCELLED;
     }
-    return known == null || known.job().isSameAs(moved)
-        ? ScopeResult.APPLIED
-        : ScopeResult.ID_IN_USE;
+    jobs.add(new JobEntry(moved));
+    return ScopeResult.APPLIED;
+  }
+
+  /** Advances the time to that of a command, and forgets what has expired by then. */
+  private void advanceRetention(long commandMillis) {
+    retentionClock.advance(commandMillis);
+    long expiredMillis = retentionClock.nowMillis() - retentionMillis;
+    jobs.purgeEndedBefore(expiredMillis);
+    earlyCancellations.purgeBefore(expiredMillis);
   }
 
   private ScopeResult cancel(ScopeCommand.Cancel command) {
+    // The configuration may have changed since the call was authorized.
+    QueueName queue = command.queue() == null ? null : currentQueue(command.queue());
     JobEntry entry = jobs.get(command.job());
-    if (entry == null) {
-      return ScopeResult.UNKNOWN_JOB;
+    boolean isFound =
+        entry != null && (queue == null || entry.job().isVisibleTo(queue, command.customer()));
+    if (!isFound) {
+      return queue == null ? ScopeResult.UNKNOWN_JOB : cancelUnknown(command, queue);
     }
     if (!entry.status().isFinal()) {
       retentionClock.advance(command.atMillis());
@@ -388,6 +420,14 @@
     return ScopeResult.APPLIED;
   }
 
+  private ScopeResult cancelUnknown(ScopeCommand.Cancel command, QueueName queue) {
+    advanceRetention(command.atMillis());
+    return earlyCancellations.add(
+            command.job(), queue, command.customer(), retentionClock.nowMillis())
+        ? ScopeResult.UNKNOWN_JOB
+        : ScopeResult.TOO_MANY_CANCELLATIONS;
+  }
+
   private void switchDomain(ScopeCommand.SwitchDomain command) {
     if (command.isOut()) {
       domainsOut.add(command.domain());
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeSnapshot.java
@@ -7,7 +7,9 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
+import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.FailureDomainId;
+import org.primrosegauge.core.JobId;
 
 /**
  * Complete state of a {@link ScopeLedger}, for snapshots of the log.
@@ -21,6 +23,8 @@
  * @param jobs jobs, in the order of their acceptance
  * @param runTimes run times observed in each queue; none in snapshots of releases before 0.4
  * @param retention time by which ended jobs expire; not started in snapshots of releases before 0.4
+ * @param cancellations cancellations of unknown jobs, earliest first; none in snapshots of releases
+ *     before 0.4
  * @since 0.2
  */
 public record ScopeSnapshot(
@@ -31,13 +35,15 @@
     List<WorkerState> workers,
     List<JobState> jobs,
     List<RunTimes.QueueState> runTimes,
-    RetentionState retention) {
+    RetentionState retention,
+    List<CancellationState> cancellations) {
 
   /** Replaces what earlier releases did not store. */
   public ScopeSnapshot {
     removedQueues = removedQueues == null ? List.of() : List.copyOf(removedQueues);
     runTimes = runTimes == null ? List.of() : List.copyOf(runTimes);
     retention = retention == null ? new RetentionState(0, 0) : retention;
+    cancellations = cancellations == null ? List.of() : List.copyOf(cancellations);
   }
 
   /**
@@ -49,6 +55,17 @@
    */
   public record RetentionState(long nowMillis, long wallMillis) {}
 
+  /**
+   * A cancellation of a job that was unknown.
+   *
+   * @param job id of the job
+   * @param queue queue that the caller's path named
+   * @param customer customer of the caller's key; null without a known key on a public queue
+   * @param atMillis time of the retention clock, in milliseconds
+   * @since 0.4
+   */
+  public record CancellationState(JobId job, QueueName queue, CustomerId customer, long atMillis) {}
+
   /**
    * State of a worker incarnation.
    *
@@ -240,7 +257,8 @@
       Collection<WorkerRecord> workers,
       Collection<JobEntry> jobs,
       RunTimes runTimes,
-      RetentionClock retention) {
+      RetentionClock retention,
+      EarlyCancellations cancellations) {
     return new ScopeSnapshot(
         configuration,
         content,
@@ -249,6 +267,7 @@
         workers.stream().map(WorkerState::of).toList(),
         jobs.stream().map(JobState::of).toList(),
         runTimes.snapshot(),
-        retention.snapshot());
+        retention.snapshot(),
+        cancellations.snapshot());
   }
 }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -161,7 +161,7 @@
     } else if (command instanceof ScopeCommand.RecordEnds ends) {
       handleRecordedEnds(ends, now);
     } else if (command instanceof ScopeCommand.Cancel cancel) {
-      stopJob(cancel.job(), "cancelled", now);
+      stopIfCancelled(cancel.job(), now);
     } else if (command instanceof ScopeCommand.SeeWorker registration) {
       registerWorker(registration.worker(), now);
     } else if (command instanceof ScopeCommand.ForgetWorker removal) {
@@ -254,6 +254,15 @@
     }
   }
 
+  /**
+   * Stops the runs of a job unless its cancellation had no effect, as its caller may not see it.
+   */
+  private void stopIfCancelled(JobId job, ClockReading now) {
+    if (state.ledger.job(job).filter(entry -> entry.status().isFinal()).isPresent()) {
+      stopJob(job, "cancelled", now);
+    }
+  }
+
   private void stopJob(JobId job, String reason, ClockReading now) {
     for (RunState run : state.runsOfJob(job)) {
       if (!isFinishedGang(run)) {
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/JumpingClockTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/JumpingClockTest.java
@@ -136,6 +136,7 @@
             now.workers(),
             now.jobs(),
             now.runTimes(),
+            null,
             null));
     submitAnother(START_MILLIS + RETENTION_MILLIS / 2);
     assertThat(ledger.job(ENDED)).isPresent();
--- a/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/LastingTaskTest.java
+++ b/primrosegauge-core/src/test/java/org/primrosegauge/core/scope/impl/LastingTaskTest.java
@@ -197,6 +197,7 @@
             now.workers(),
             List.of(former),
             now.runTimes(),
+            null,
             null));
     assertThat(fixture.ledger.step(new StepKey(JOB, 0, 0)).pendingTasks()).isEqualTo(TASKS);
   }
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/CallAuthorizer.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/CallAuthorizer.java
@@ -6,6 +6,7 @@
 import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.scope.JobEntry;
 import org.primrosegauge.core.scope.QueueSpec;
+import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeConfiguration;
 import org.primrosegauge.core.scope.ScopeJob;
 import org.primrosegauge.core.scope.ScopeLedger;
@@ -66,15 +67,13 @@
     JobId id = JobId.parse(call.jobPath(), "path");
     return ledger
         .job(id)
-        .filter(entry -> entry.job().queue().equals(call.queue().name()))
-        .filter(entry -> isVisible(entry, call));
+        .filter(entry -> entry.job().isVisibleTo(call.queue().name(), call.customer()));
   }
 
-  /** A job of a public queue is visible without a key, even if it was submitted with one. */
-  private static boolean isVisible(JobEntry entry, AuthorizedCall call) {
-    CustomerId owner = entry.job().customer();
-    boolean isKeyOptional = call.queue().isPublic() && call.customer() == null;
-    return owner == null || isKeyOptional || owner.equals(call.customer());
+  /** Creates the command that cancels the job that an authorized call names. */
+  ScopeCommand.Cancel toCancel(AuthorizedCall call, long wallMillis) throws InvalidInputException {
+    return new ScopeCommand.Cancel(
+        JobId.parse(call.jobPath(), "path"), wallMillis, call.queue().name(), call.customer());
   }
 
   /** Creates the job that an authorized call submits, with the settings of its queue. */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
@@ -10,6 +10,7 @@
 import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeConfiguration;
 import org.primrosegauge.core.scope.ScopeEvent;
+import org.primrosegauge.core.scope.ScopeResult;
 import org.primrosegauge.core.scope.StepSpec;
 import org.primrosegauge.node.metrics.NodeMetrics;
 import org.slf4j.Logger;
@@ -68,11 +69,14 @@
    * Logs the effect of a committed command on a job or on the scope. Placements and ends of runs
    * have scheduler events of their own.
    *
+   * @param result result of the command; a submission that was refused is logged as a call
    * @param configuration configuration in force
-   * @since 0.2
+   * @since 0.4
    */
-  public void commandApplied(ScopeCommand command, ScopeConfiguration configuration) {
-    if (command instanceof ScopeCommand.Submit submit) {
+  public void commandApplied(
+      ScopeCommand command, ScopeResult result, ScopeConfiguration configuration) {
+    boolean isApplied = result == ScopeResult.APPLIED;
+    if (command instanceof ScopeCommand.Submit submit && isApplied) {
       LOG.info(
           "{} {} {} {} {} steps={}",
           field("event", "ACCEPTED"),
@@ -82,7 +86,10 @@
           configuration.queue(submit.job().queue()).map(ScopeEventLog::describe).orElse(""),
           submit.job().steps().stream().map(ScopeEventLog::describe).toList());
     } else if (command instanceof ScopeCommand.Cancel cancel) {
-      LOG.info("{} {}", field("event", "CANCELLED"), field("job", cancel.job()));
+      LOG.info(
+          "{} {}",
+          field("event", isApplied ? "CANCELLED" : "CANCELLED_UNKNOWN"),
+          field("job", cancel.job()));
     } else if (command instanceof ScopeCommand.Configure configure) {
       LOG.info(
           "{} revision={} queues={} customers={}",
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
@@ -18,6 +18,8 @@
   BAD_ID,
   /** The id belongs to a job of another queue or customer; the submission was not accepted. */
   ID_IN_USE,
+  /** The submitted job was cancelled before; its id is refused for a while. */
+  CANCELLED,
   /** The leader is overloaded; the call was not executed. */
   OVERLOADED,
   /** The request is larger than an entry of the log may be, and was not executed. */
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeReplica.java
@@ -308,6 +308,9 @@
           ? Mono.just(new ScopeMessage.Done())
           : refuse(ScopeRefusal.ID_IN_USE, submit.address());
     }
+    if (ledger.wasCancelledEarly(job)) {
+      return refuse(ScopeRefusal.CANCELLED, submit.address());
+    }
     if (isStale) {
       // An earlier attempt may have proposed the same job.
       return Mono.just(
@@ -323,6 +326,7 @@
     }
     proposedJobs.proposed(job.id());
     return propose(new ScopeCommand.Submit(job))
+        .doOnNext(answer -> reportIfRefused(answer, submit.address()))
         .doOnNext(answer -> forgetIfRefused(job.id(), answer))
         .doOnError(error -> proposalFailed(job.id()));
   }
@@ -364,16 +368,25 @@
         .orElseGet(() -> refused(ScopeRefusal.UNKNOWN_JOB, address));
   }
 
+  /**
+   * Cancels a job. The cancelling of an unknown job is committed before it is answered, since the
+   * submission may be delayed in transit and must not be accepted afterwards.
+   */
   private Mono<Answer> cancel(CallerAddress address) throws InvalidInputException {
     CallAuthorizer.Authorization authorization = authorizer.authorize(address);
     if (authorization.refusal() != null) {
       return refuse(authorization.refusal(), address);
     }
-    Optional<JobEntry> job = authorizer.findJob(authorization.call());
-    if (job.isEmpty()) {
-      return refuse(ScopeRefusal.UNKNOWN_JOB, address);
+    return propose(authorizer.toCancel(authorization.call(), wallClock.nowMillis()))
+        .doOnNext(answer -> reportIfRefused(answer, address));
+  }
+
+  /** Reports a refusal by the ledger; a command that is too large has been reported already. */
+  private void reportIfRefused(Answer answer, CallerAddress address) {
+    if (answer instanceof ScopeMessage.Refused refused
+        && refused.reason() != ScopeRefusal.TOO_LARGE) {
+      events.refused(refused.reason(), address);
     }
-    return propose(new ScopeCommand.Cancel(job.get().job().id(), wallClock.nowMillis()));
   }
 
   private Mono<Answer> configure(ScopeMessage.Configure configure) {
@@ -424,9 +437,14 @@
   }
 
   private static Answer answerTo(ScopeResult result) {
-    return result == ScopeResult.ID_IN_USE
-        ? new ScopeMessage.Refused(ScopeRefusal.ID_IN_USE)
-        : new ScopeMessage.Done();
+    return switch (result) {
+      case APPLIED -> new ScopeMessage.Done();
+      case UNKNOWN_JOB -> new ScopeMessage.Refused(ScopeRefusal.UNKNOWN_JOB);
+      case ID_IN_USE -> new ScopeMessage.Refused(ScopeRefusal.ID_IN_USE);
+      case CANCELLED -> new ScopeMessage.Refused(ScopeRefusal.CANCELLED);
+      case TOO_MANY_CANCELLATIONS ->
+          new ScopeMessage.Refused(ScopeRefusal.OVERLOADED, LoadShedding.RETRY_AFTER_MILLIS);
+    };
   }
 
   private void admit(ScopeMessage.Join join) {
@@ -454,7 +472,7 @@
         proposedJobs.applied(submit.job().id());
       }
       if (isLeading) {
-        events.commandApplied(command, ledger.configuration());
+        events.commandApplied(command, result, ledger.configuration());
         metrics.afterApply(ledger, wallClock.nowMillis());
       }
       schedulerRunner.run(EventKind.APPLIED, (scheduler, now) -> scheduler.applied(command, now));
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeInstanceTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.primrosegauge.core.CustomerId;
 import org.primrosegauge.core.FailureDomainId;
 import org.primrosegauge.core.HostPort;
@@ -233,6 +235,46 @@
     assertThat(ask(new ScopeMessage.Submit(JOB, job()))).isEqualTo(new ScopeMessage.Done());
   }
 
+  /**
+   * Guards against UNASKED: a submission that was delayed in transit arrived after the job's cancel
+   * had been answered, and the job was accepted and started.
+   */
+  @ParameterizedTest
+  @EnumSource(Disturbance.class)
+  void jobStartsAlthoughItsCancelWasAnsweredBefore(Disturbance disturbance) throws Exception {
+    configure();
+    sendHeartbeat();
+    assertThat(ask(new ScopeMessage.Cancel(JOB)))
+        .isEqualTo(new ScopeMessage.Refused(ScopeRefusal.UNKNOWN_JOB));
+    disturb(disturbance);
+    ScopeMessage.Refused refused =
+        askUntil(new ScopeMessage.Submit(JOB, job()), ScopeMessage.Refused.class);
+    assertThat(refused.reason().name()).isEqualTo("CANCELLED");
+    CallerAddress other = new CallerAddress("host", "/q/00ab", "k1");
+    askUntil(new ScopeMessage.Submit(other, job()), ScopeMessage.Done.class);
+    for (int i = 0; i < MAX_ATTEMPTS && worker.started.size() < 2; i++) {
+      sendHeartbeat();
+      Thread.sleep(20);
+    }
+    assertThat(worker.started).containsExactly("00ab.0.0.0#1", "00ab.0.0.1#1");
+  }
+
+  /** What happens between the cancel and the submission. */
+  private enum Disturbance {
+    NONE,
+    LEADER_LOST,
+    ALL_RESTARTED
+  }
+
+  private void disturb(Disturbance disturbance) throws Exception {
+    if (disturbance == Disturbance.LEADER_LOST) {
+      instances.remove(instances.get(ENTRY).client().leader().value()).close();
+    } else if (disturbance == Disturbance.ALL_RESTARTED) {
+      restartAll();
+    }
+    askUntil(new ScopeMessage.AskConfiguration(), ScopeMessage.Configuration.class);
+  }
+
   @Test
   void acceptedJobAndConfigurationSurviveLeaderLoss() throws Exception {
     configure();
