--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/LeaderRequest.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/LeaderRequest.java
@@ -7,6 +7,8 @@
 import org.primrosegauge.node.duty.MonotonicClock;
 import org.primrosegauge.node.scope.ScopeMessage.Answer;
 import org.primrosegauge.node.scope.ScopeMessage.Question;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 
@@ -25,6 +27,8 @@
  */
 final class LeaderRequest {
 
+  private static final Logger LOG = LoggerFactory.getLogger(LeaderRequest.class);
+
   /**
    * Fraction of the caller's timeout after which a write that may have been executed is reported as
    * {@link ScopeMessage.Unknown} if a majority of the voters is unreachable.
@@ -203,7 +207,7 @@
   private void failed(InstanceId instance, Throwable error) {
     if (ScopeReplica.isTooLarge(error)) {
       clearInFlight(instance, false);
-      complete(new ScopeMessage.Refused(ScopeRefusal.TOO_LARGE));
+      complete(withoutAmbiguousRefusal(new ScopeMessage.Refused(ScopeRefusal.TOO_LARGE)));
       return;
     }
     clearInFlight(instance, !ScopeReplica.isUnavailable(error));
@@ -280,17 +284,19 @@
   }
 
   /**
-   * Replaces a transient refusal by {@link ScopeMessage.Unknown} if an earlier attempt may still be
-   * executed.
+   * Replaces a refusal by {@link ScopeMessage.Unknown} if an earlier attempt may have been executed
+   * or may still be, and the refusal says nothing about that.
    */
-  private synchronized Answer withoutAmbiguousRefusal(Answer answer) {
-    boolean mayHaveExecuted =
-        progress == Progress.OUTCOME_UNKNOWN || (!inFlightAt.isEmpty() && !request.isReadOnly());
+  private Answer withoutAmbiguousRefusal(Answer answer) {
     boolean isAmbiguous =
-        mayHaveExecuted
-            && answer instanceof ScopeMessage.Refused refused
-            && refused.reason().isTransient();
-    return isAmbiguous ? new ScopeMessage.Unknown() : answer;
+        answer instanceof ScopeMessage.Refused refused
+            && !refused.reason().coversEarlierAttempts()
+            && currentProgress() == Progress.OUTCOME_UNKNOWN;
+    if (!isAmbiguous) {
+      return answer;
+    }
+    LOG.info("event=REFUSAL_WITHHELD refusal={}, as an earlier attempt may count", answer);
+    return new ScopeMessage.Unknown();
   }
 
   private void complete(Answer answer) {
--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeRefusal.java
@@ -32,12 +32,25 @@
   NO_LEADER;
 
   /**
-   * Returns whether the refusal is transient, so that the same call may be accepted a moment later.
-   * Such a refusal says nothing about an earlier attempt of the call that is still in flight.
+   * Returns whether the refusal holds whatever an earlier attempt of the same call has done. Any
+   * other refusal says nothing about an earlier attempt: it may have been executed when the leader
+   * had room, or before keys and queues were changed.
    *
-   * @since 0.3
+   * @since 0.4
    */
-  public boolean isTransient() {
-    return this == OVERLOADED || this == BACKLOG || this == NO_LEADER;
+  public boolean coversEarlierAttempts() {
+    return switch (this) {
+      case UNKNOWN_JOB, CANCELLED, OVERTAKEN -> true;
+      case NOT_CONFIGURED,
+          NO_QUEUE,
+          UNKNOWN_KEY,
+          BAD_ID,
+          ID_IN_USE,
+          OVERLOADED,
+          TOO_LARGE,
+          BACKLOG,
+          NO_LEADER ->
+          false;
+    };
   }
 }
--- a/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
+++ b/primrosegauge-node/src/test/java/org/primrosegauge/node/scope/ScopeClientTest.java
@@ -52,6 +52,13 @@
   private VirtualTimeScheduler time;
   private InstanceId leader;
   private InstanceId suspended;
+
+  /** Instance whose connection is lost with each request, which it may have received. */
+  private InstanceId resetting;
+
+  /** Instance to which no request can be sent. */
+  private InstanceId unreachable;
+
   private List<InstanceId> voters = List.of(FIRST, SECOND);
   private boolean areAllDown;
 
@@ -84,6 +91,12 @@
     if (areAllDown || areOthersDown && !to.equals(FIRST)) {
       return Mono.error(error(ErrorKind.UNAVAILABLE));
     }
+    if (to.equals(unreachable)) {
+      return Mono.error(error(ErrorKind.UNAVAILABLE));
+    }
+    if (to.equals(resetting)) {
+      return Mono.error(error(ErrorKind.OUTCOME_UNKNOWN));
+    }
     if (to.equals(slow)) {
       Duration delay = Duration.ofMillis(slowMillis);
       return delay.compareTo(timeout) < 0
@@ -143,20 +156,54 @@
   }
 
   /**
-   * The first attempt got no response and may still be executed, so the refusal of the second must
-   * not be returned.
+   * Guards against REFUSED: the first attempt got no response and may have been executed or may
+   * still be, and the refusal of the second, such as for a key that was removed meanwhile, was
+   * returned.
    */
   @ParameterizedTest
   @EnumSource(
       value = ScopeRefusal.class,
-      names = {"BACKLOG", "OVERLOADED", "NO_LEADER"})
-  void transientRefusalIsNotReturnedWhileEarlierAttemptIsInFlight(ScopeRefusal reason) {
+      mode = EnumSource.Mode.EXCLUDE,
+      names = {"UNKNOWN_JOB", "CANCELLED", "OVERTAKEN"})
+  void refusalIsReturnedAlthoughEarlierAttemptMayHaveBeenExecuted(ScopeRefusal reason) {
+    for (boolean isSuspended : List.of(true, false)) {
+      final ScopeClient client = clientWithKnownLeader();
+      suspended = isSuspended ? FIRST : null;
+      resetting = isSuspended ? null : FIRST;
+      leader = SECOND;
+      writeResponse = new ScopeMessage.Refused(reason, 5_000);
+      Answer response = responseWithin(client, WRITE, CALLER_TIMEOUT.toMillis());
+      assertThat(response).isInstanceOf(ScopeMessage.Unknown.class);
+      leader = FIRST;
+      resetting = null;
+      suspended = null;
+    }
+  }
+
+  /** Nothing runs by the earlier attempt either, so the caller need not try again. */
+  @ParameterizedTest
+  @EnumSource(
+      value = ScopeRefusal.class,
+      names = {"UNKNOWN_JOB", "CANCELLED", "OVERTAKEN"})
+  void refusalThatCoversEarlierAttemptsIsReturned(ScopeRefusal reason) {
     final ScopeClient client = clientWithKnownLeader();
-    suspended = FIRST;
+    resetting = FIRST;
+    leader = SECOND;
+    writeResponse = new ScopeMessage.Refused(reason);
+    Answer response = responseWithin(client, WRITE, CALLER_TIMEOUT.toMillis());
+    assertThat(response).isEqualTo(writeResponse);
+  }
+
+  /** Nothing reached the lost leader, so the refusal of the next one is the only attempt's. */
+  @ParameterizedTest
+  @EnumSource(ScopeRefusal.class)
+  void refusalAfterAttemptThatWasNotSentIsReturned(ScopeRefusal reason) {
+    final ScopeClient client = clientWithKnownLeader();
+    unreachable = FIRST;
     leader = SECOND;
     writeResponse = new ScopeMessage.Refused(reason, 5_000);
     Answer response = responseWithin(client, WRITE, CALLER_TIMEOUT.toMillis());
-    assertThat(response).isInstanceOf(ScopeMessage.Unknown.class);
+    assertThat(response).isEqualTo(writeResponse);
   }
 
   @Test
