The log searches all its entries for the latest change of its members

Change: MemoryLog keeps the indices of those entries at hand.

Evidence: MembershipIndexTest compares the index with a search through the entries over appended, truncated, compacted and replaced logs; it guards the change.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/MemoryLog.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/MemoryLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeSet;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.log.LogEntry;
 import org.primrosegauge.core.log.LogIndex;
@@ -20,6 +21,10 @@
 public final class MemoryLog {
 
   private final List<LogEntry> entries = new ArrayList<>();
+
+  /** Indices of the entries in memory that change the members. */
+  private final TreeSet<Long> membershipChanges = new TreeSet<>();
+
   private LogSnapshot snapshot;
   private long baseIndex;
   private Term baseTerm = Term.NONE;
@@ -120,16 +125,21 @@
           "gap in the log: entry " + entry.index() + " after " + lastIndex());
     }
     entries.add(entry);
+    if (entry.membership() != null) {
+      membershipChanges.add(entry.index().number());
+    }
   }
 
   /** Removes all entries after an index. */
   public void truncateAfter(long index) {
     entries.subList((int) (index - baseIndex), entries.size()).clear();
+    membershipChanges.tailSet(index, false).clear();
   }
 
   /** Replaces the whole log with a snapshot. */
   public void reset(LogSnapshot replacement) {
     entries.clear();
+    membershipChanges.clear();
     snapshot = replacement;
     baseIndex = replacement.index().number();
     baseTerm = replacement.term();
@@ -146,6 +156,7 @@
     long newBase = trailingBase(replacement.index().number(), trailingEntries, trailingBytes);
     Term newBaseTerm = termAt(newBase);
     entries.subList(0, (int) (newBase - baseIndex)).clear();
+    membershipChanges.headSet(newBase, true).clear();
     baseIndex = newBase;
     baseTerm = newBaseTerm;
   }
@@ -185,12 +196,8 @@
   }
 
   private long membershipIndexUpTo(long index) {
-    for (long at = index; at > baseIndex; at--) {
-      if (entry(at).membership() != null) {
-        return at;
-      }
-    }
-    return 0;
+    Long change = membershipChanges.floor(index);
+    return change == null ? 0 : change;
   }
 
   /**
