The end of a run goes through all occurrences of its job

Change: only the occurrences whose runs have ended are examined; no other can have become done or failed by that end.

Evidence: OccurrenceEndCostTest, with the counter put into the former code: 10 ends examined 2,000 steps at 100 occurrences and 172,800 at 8,640, instead of 200; 20 each now. ScopeLedgerIndexTest and PastOccurrencesTest pass.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/ScopeLedger.java
@@ -1,9 +1,9 @@
 package org.primrosegauge.core.scope;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,6 +44,7 @@
 
   private ScopeConfiguration configuration = ScopeConfiguration.NONE;
   private String content = "";
+  private long examinedSteps;
 
   /**
    * Creates an empty ledger.
@@ -248,6 +249,11 @@
     return workers.capacity(pool, domainsOut);
   }
 
+  /** Returns how many steps have been examined because runs of them have ended. */
+  long examinedSteps() {
+    return examinedSteps;
+  }
+
   /**
    * Applies a command.
    *
@@ -467,15 +473,18 @@
       return;
     }
     worker.advanceLastEnd(command.lastEnd());
-    Set<JobId> changed = new HashSet<>();
+    Map<JobId, Set<Integer>> changedOccurrences = new LinkedHashMap<>();
     for (RunEnd end : command.ends()) {
       if (worker.openRuns().contains(end.run())) {
         closeRun(worker, end);
-        changed.add(end.run().task().job());
+        TaskKey task = end.run().task();
+        changedOccurrences
+            .computeIfAbsent(task.job(), job -> new TreeSet<>())
+            .add(task.occurrence());
       }
     }
     retentionClock.advance(command.atMillis());
-    changed.forEach(job -> updateStatus(jobs.get(job)));
+    changedOccurrences.forEach((job, numbers) -> updateStatus(jobs.get(job), numbers));
   }
 
   private void closeRun(WorkerRecord worker, RunEnd end) {
@@ -524,21 +533,24 @@
     }
   }
 
-  private void updateStatus(JobEntry entry) {
+  /** Updates the status of a job after runs of some of its occurrences have ended. */
+  private void updateStatus(JobEntry entry, Set<Integer> changedOccurrences) {
     if (entry.status().isFinal()) {
       return;
     }
     int maxAttempts = maxAttempts(entry);
-    for (Map.Entry<Integer, List<StepRecord>> activeOccurrence :
-        new ArrayList<>(entry.occurrences().entrySet())) {
-      List<StepRecord> steps = activeOccurrence.getValue();
+    for (int number : changedOccurrences) {
+      List<StepRecord> steps = entry.occurrences().get(number);
+      if (steps == null) {
+        continue;
+      }
+      examinedSteps += steps.size();
       if (steps.stream().anyMatch(step -> step.hasFailed(maxAttempts))) {
         jobs.end(entry, JobStatus.FAILED, retentionClock.nowMillis());
         return;
       }
-      boolean isDone = steps.stream().allMatch(StepRecord::isDone);
-      if (isDone) {
-        entry.markOccurrenceDone(activeOccurrence.getKey());
+      if (steps.stream().allMatch(StepRecord::isDone)) {
+        entry.markOccurrenceDone(number);
       }
     }
     if (entry.isDone()) {
