--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
@@ -38,8 +38,8 @@
           .thenComparingInt(demand -> demand.key().step());
 
   /**
-   * Largest number of occurrences of a job that have begun and wait for their first start. Any
-   * number may be due, and each one that begins takes memory and time in each pass.
+   * Largest number of occurrences of a job that have begun and wait for workers, or for the starts
+   * on them. Any number may be due; they begin as fast as those before them are started.
    */
   private static final int MAX_WAITING_OCCURRENCES = 64;
 
@@ -172,8 +172,11 @@
     for (int begun : List.copyOf(entry.occurrences().keySet())) {
       collect(entry, begun, allowedMillis, stepWaits, now, found);
     }
-    long waiting = found.stream().filter(DemandQueue::isOfWaitingOccurrence).count();
-    long limit = MAX_WAITING_TASKS / Math.max(1, entry.job().taskCount());
+    long taskCount = Math.max(1, entry.job().taskCount());
+    long waiting =
+        found.stream().filter(DemandQueue::isOfWaitingOccurrence).count()
+            + state.unstartedRuns(entry.job().id()) / taskCount;
+    long limit = MAX_WAITING_TASKS / taskCount;
     limit = Math.max(1, Math.min(MAX_WAITING_OCCURRENCES, limit));
     for (; waiting < limit && entry.mayBeginNext(); waiting++) {
       int next = entry.begunOccurrences();
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunLifecycle.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunLifecycle.java
@@ -36,6 +36,12 @@
   /** Largest number of start requests for one run. */
   private static final int MAX_START_TRIES = 4;
 
+  /**
+   * Largest number of starts that are handed to the client of the workers for one worker. More than
+   * the largest gang, and half of what the client has room for.
+   */
+  static final int MAX_OPEN_STARTS = 1_024;
+
   /** Delay before an unanswered stop request is repeated, in milliseconds. */
   private static final long STOP_RETRY_MILLIS = 500;
 
@@ -80,11 +86,23 @@
       if (isIncomplete || isUnwanted(run)) {
         proposeNeverStarted(run, now);
       } else {
-        sendStart(run, now.monotonicMillis());
+        run.worker.markDispatched(run);
+        startInTurn(run, now.monotonicMillis());
       }
     }
   }
 
+  /** Sends a start, or keeps it until there is room for it and those before it have been sent. */
+  private void startInTurn(RunState run, long nowMillis) {
+    boolean hasRoom =
+        run.worker.unsentStarts.isEmpty() && run.worker.openStarts.size() < MAX_OPEN_STARTS;
+    if (hasRoom) {
+      sendStart(run, nowMillis);
+    } else {
+      queueStart(run);
+    }
+  }
+
   private boolean isUnwanted(RunState run) {
     WorkerSession worker = run.worker;
     return run.stopRequested
@@ -105,15 +123,42 @@
     }
   }
 
+  private void queueStart(RunState run) {
+    run.worker.unsentStarts.add(run);
+    state.unsentStarts.add(run.worker);
+  }
+
+  /** Sends the starts that have not left this process, as far as their workers have room. */
+  void sendQueuedStarts(ClockReading now) {
+    List.copyOf(state.unsentStarts).forEach(worker -> sendQueuedStarts(worker, now));
+  }
+
+  private void sendQueuedStarts(WorkerSession worker, ClockReading now) {
+    while (!worker.unsentStarts.isEmpty()) {
+      RunState run = worker.unsentStarts.iterator().next();
+      boolean isWanted = isStartWanted(run, now);
+      if (isWanted && worker.openStarts.size() >= MAX_OPEN_STARTS) {
+        return;
+      }
+      state.examined(1);
+      worker.unsentStarts.remove(run);
+      if (isWanted) {
+        sendStart(run, now.monotonicMillis());
+      } else if (!run.endProposed) {
+        giveUpStart(run, now);
+      }
+    }
+    state.unsentStarts.remove(worker);
+  }
+
   private void sendStart(RunState run, long nowMillis) {
-    run.worker.markDispatched(run);
     state.pollQueue.enqueue(run.worker);
     if (run.spec.gang()) {
       state.stepsToCheck.add(run.id.task().stepKey());
     }
-    run.startInFlight = true;
     run.startTries++;
     WorkerSession worker = run.worker;
+    worker.openStarts.add(run);
     worker.latestDeadline = Math.max(worker.latestDeadline, run.startDeadline);
     StepRecord step = state.ledger.step(run.id.task().stepKey());
     TaskRecord task = step.task(run.id.task().index());
@@ -131,10 +176,9 @@
   /** Handles the result of a start request. */
   void handleStartResult(RunId id, StartResult result, long clockMillis, ClockReading now) {
     RunState run = state.runs.get(id);
-    if (run == null || !run.startInFlight) {
+    if (run == null || !run.worker.openStarts.remove(run)) {
       return;
     }
-    run.startInFlight = false;
     if (result.isResponse()) {
       recordResponse(run.worker, clockMillis, now.monotonicMillis());
     }
@@ -151,6 +195,9 @@
       case OTHER_LIFETIME -> proposeRemoval(run.worker);
       default -> handleRejected(run, result, now);
     }
+    if (result != StartResult.NOT_SENT) {
+      sendQueuedStarts(run.worker, now);
+    }
   }
 
   private void handleStarted(RunState run, ClockReading now) {
@@ -187,37 +234,20 @@
     }
   }
 
-  /** Keeps a start that did not leave this process for another try, which soon follows. */
+  /** Keeps a start that did not leave this process for another try, with the next tick. */
   private void handleNotSent(RunState run, ClockReading now) {
     run.startTries--;
     if (isStartWanted(run, now)) {
-      state.unsentStarts.add(run);
+      queueStart(run);
     } else {
       giveUpStart(run, now);
     }
   }
 
-  /** Sends the starts again that did not leave this process. */
-  void resendStarts(ClockReading now) {
-    List<RunState> unsent = List.copyOf(state.unsentStarts);
-    state.unsentStarts.clear();
-    state.examined(unsent.size());
-    for (RunState run : unsent) {
-      if (state.runs.get(run.id) != run || run.endProposed) {
-        continue;
-      }
-      if (isStartWanted(run, now)) {
-        sendStart(run, now.monotonicMillis());
-      } else {
-        giveUpStart(run, now);
-      }
-    }
-  }
-
   private boolean isStartWanted(RunState run, ClockReading now) {
     boolean hasTime =
         run.worker.clockAt(now.monotonicMillis()) + START_MARGIN_MILLIS < run.startDeadline;
-    return hasTime && !run.stopRequested && state.ledger.isOpen(run.id);
+    return hasTime && !run.endProposed && !run.stopRequested && state.ledger.isOpen(run.id);
   }
 
   private static String capacityDetail(WorkerSession worker) {
@@ -226,6 +256,7 @@
 
   private void handleUnanswered(RunState run, ClockReading now) {
     run.startUnanswered = true;
+    state.startAttempted(run);
     state.report(
         ScopeEvent.of(
             Kind.START_UNANSWERED, run.id, run.worker.info.key(), "try=" + run.startTries));
@@ -274,9 +305,8 @@
       return;
     }
     run.endProposed = true;
-    state.propose(
-        new ScopeCommand.RecordEnds(
-            run.worker.info.key(), 0, List.of(new RunEnd(run.id, outcome, "")), now.wallMillis()));
+    state.proposeConcludedEnd(
+        run.worker.info.key(), new RunEnd(run.id, outcome, ""), now.wallMillis());
   }
 
   /** Stops a run, whatever the state of its start. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunState.java
@@ -45,7 +45,10 @@
   Phase phase;
   long startDeadline;
   int startTries;
-  boolean startInFlight;
+
+  /** Whether the run was placed in this term and its start has not been attempted yet. */
+  boolean isAwaitingStart;
+
   boolean startUnanswered;
   boolean stopRequested;
   boolean stopInFlight;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -424,7 +424,7 @@
   public void tick(ClockReading now) {
     poller.expireDueLeases(now);
     lifecycle.resendStops(now.monotonicMillis());
-    lifecycle.resendStarts(now);
+    lifecycle.sendQueuedStarts(now);
     overdueResponses.probeDue(now.monotonicMillis());
     monitor.stopBeforeExits(now);
     if (now.monotonicMillis() >= nextCheckMillis) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeState.java
@@ -13,6 +13,7 @@
 import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.Term;
 import org.primrosegauge.core.scope.JobEntry;
+import org.primrosegauge.core.scope.RunEnd;
 import org.primrosegauge.core.scope.RunId;
 import org.primrosegauge.core.scope.ScopeAction;
 import org.primrosegauge.core.scope.ScopeCommand;
@@ -36,6 +37,9 @@
 
   private static final long PERCENT = 100;
 
+  /** Largest number of ends in one entry of the log. */
+  private static final int MAX_ENDS_OF_ENTRY = 1_000;
+
   /** Priority of work that may preempt other work. */
   static final int URGENT = 0;
 
@@ -69,8 +73,8 @@
   /** Runs that never started and whose end the log did not accept. */
   final Set<RunState> unrecordedEnds = new LinkedHashSet<>();
 
-  /** Runs whose start did not leave this process and is to be sent again. */
-  final Set<RunState> unsentStarts = new LinkedHashSet<>();
+  /** Sessions with starts that have not left this process yet. */
+  final Set<WorkerSession> unsentStarts = new LinkedHashSet<>();
 
   /** Runs by the time at which they count as stalled unless they have made progress by then. */
   final TimerQueue<RunState> stallChecks = new TimerQueue<>();
@@ -84,6 +88,12 @@
   final UrgentUsage urgentUsage = new UrgentUsage(this);
   private final Map<StepKey, Integer> proposedRuns = new HashMap<>();
   private final Set<TaskKey> proposedTasks = new HashSet<>();
+
+  /** Number of runs of each job that were placed in this term and wait for their start. */
+  private final Map<JobId, Integer> unstartedRuns = new HashMap<>();
+
+  private final Map<WorkerKey, List<RunEnd>> concludedEnds = new LinkedHashMap<>();
+  private long concludedMillis;
   private List<ScopeAction> actions = new ArrayList<>();
   private long examined;
   Term term = Term.NONE;
@@ -118,6 +128,8 @@
     expectations.clear();
     proposedRuns.clear();
     proposedTasks.clear();
+    unstartedRuns.clear();
+    concludedEnds.clear();
     actions = new ArrayList<>();
   }
 
@@ -154,9 +166,35 @@
   void addProposed(RunState run) {
     proposedTasks.add(run.id.task());
     proposedRuns.merge(run.id.task().stepKey(), 1, Integer::sum);
+    run.isAwaitingStart = true;
+    unstartedRuns.merge(run.id.task().job(), 1, Integer::sum);
     add(run);
   }
 
+  /** Returns how many runs of a job were placed in this term and wait for their start. */
+  int unstartedRuns(JobId job) {
+    return unstartedRuns.getOrDefault(job, 0);
+  }
+
+  /** Records that a run has started, or that its worker has not responded to its start. */
+  void startAttempted(RunState run) {
+    boolean isAwaited = run.isAwaitingStart;
+    noLongerAwaitsStart(run);
+    if (isAwaited && run.job.mayBeginNext()) {
+      // The next occurrence waits for the starts of those before it.
+      changedJobs.add(run.id.task().job());
+      dirty = true;
+    }
+  }
+
+  private void noLongerAwaitsStart(RunState run) {
+    if (run.isAwaitingStart) {
+      run.isAwaitingStart = false;
+      unstartedRuns.computeIfPresent(
+          run.id.task().job(), (job, count) -> count == 1 ? null : count - 1);
+    }
+  }
+
   void removeProposed(RunId run) {
     if (proposedTasks.remove(run.task())) {
       changedJobs.add(run.task().job());
@@ -232,7 +270,7 @@
     run.worker.remove(run);
     changedJobs.add(run.id.task().job());
     stopping.remove(run);
-    unsentStarts.remove(run);
+    noLongerAwaitsStart(run);
     if (run.spec.gang()) {
       stepsToCheck.add(run.id.task().stepKey());
     }
@@ -270,6 +308,7 @@
   /** Records that the worker has a run and schedules its first stall check. */
   void markRunning(RunState run, long nowMillis) {
     run.markRunning(nowMillis);
+    startAttempted(run);
     if (!run.stallCheckScheduled && !run.spec.longRunning()) {
       run.stallCheckScheduled = true;
       scheduleStallCheck(run, nowMillis);
@@ -307,12 +346,35 @@
     actions.add(new ScopeAction.Propose(command));
   }
 
+  /**
+   * Proposes to record the end of a run that its worker does not report. Such ends of one event are
+   * recorded together, since thousands may be concluded at once.
+   *
+   * @param wallMillis present, in milliseconds since 1970
+   */
+  void proposeConcludedEnd(WorkerKey worker, RunEnd end, long wallMillis) {
+    concludedEnds.computeIfAbsent(worker, key -> new ArrayList<>()).add(end);
+    concludedMillis = wallMillis;
+  }
+
+  private void proposeConcludedEnds() {
+    concludedEnds.forEach(
+        (worker, ends) -> {
+          for (int from = 0; from < ends.size(); from += MAX_ENDS_OF_ENTRY) {
+            List<RunEnd> part = ends.subList(from, Math.min(ends.size(), from + MAX_ENDS_OF_ENTRY));
+            propose(new ScopeCommand.RecordEnds(worker, 0, part, concludedMillis));
+          }
+        });
+    concludedEnds.clear();
+  }
+
   void report(ScopeEvent event) {
     actions.add(new ScopeAction.Report(event));
   }
 
   /** Returns and clears the collected actions. */
   public List<ScopeAction> takeActions() {
+    proposeConcludedEnds();
     List<ScopeAction> taken = actions;
     actions = new ArrayList<>();
     return taken;
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -1,8 +1,11 @@
 package org.primrosegauge.core.scope.impl;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.scope.RunId;
@@ -31,6 +34,12 @@
   private final Map<StepKey, Integer> tasksPerStep = new HashMap<>();
   private int dispatchedRuns;
 
+  /** Runs whose start was handed to the client of the workers and has no result yet. */
+  final Set<RunState> openStarts = new HashSet<>();
+
+  /** Runs whose start has not left this process, in the order in which they are to be started. */
+  final Set<RunState> unsentStarts = new LinkedHashSet<>();
+
   /** Called after the free capacity has changed. */
   Consumer<WorkerSession> capacityListener = NO_LISTENER;
 
@@ -129,6 +138,8 @@
   }
 
   void remove(RunState run) {
+    openStarts.remove(run);
+    unsentStarts.remove(run);
     if (runs.remove(run.id) != null) {
       tasksPerStep.computeIfPresent(
           run.id.task().stepKey(), (step, count) -> count == 1 ? null : count - 1);
