--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/DemandQueue.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.stream.IntStream;
@@ -92,9 +93,11 @@
     state.changedJobs.addAll(byJob.keySet());
   }
 
-  /** Tells whether a step is still waiting, for the same tasks. */
-  boolean isWaiting(Demand demand) {
-    return byJob.getOrDefault(demand.key().job(), List.of()).contains(demand);
+  /** Returns what a step still waits for; empty if it does not wait for workers any more. */
+  Optional<Demand> find(StepKey key) {
+    List<Demand> ofJob = byJob.getOrDefault(key.job(), List.of());
+    state.examined(ofJob.size());
+    return ofJob.stream().filter(demand -> demand.key().equals(key)).findFirst();
   }
 
   /** Returns the waiting steps in placement order. */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -82,7 +83,7 @@
   private final List<Hold> holds = new ArrayList<>();
 
   /** Steps that wait for the confirmation of their workers. */
-  private final List<Demand> unconfirmed = new ArrayList<>();
+  private final Set<StepKey> unconfirmed = new LinkedHashSet<>();
 
   /** Steps that this pass has planned before all others. */
   private final Set<StepKey> plannedFirst = new HashSet<>();
@@ -164,16 +165,20 @@
     state.dirty = true;
   }
 
-  /** Plans the steps whose workers were probed after the last pass, before all others. */
+  /**
+   * Plans the steps whose workers were probed after the last pass, before all others. Tasks of them
+   * that have been placed meanwhile are not planned again, and the others are.
+   */
   private void planUnconfirmed(ClockReading now) {
-    List<Demand> retried = List.copyOf(unconfirmed);
+    List<StepKey> retried = List.copyOf(unconfirmed);
     unconfirmed.clear();
     plannedFirst.clear();
-    for (Demand demand : retried) {
+    for (StepKey key : retried) {
       state.examined(1);
-      plannedFirst.add(demand.key());
-      if (queue.isWaiting(demand) && !state.reservations.containsKey(demand.key())) {
-        plan(demand, now);
+      Optional<Demand> waiting = queue.find(key);
+      if (waiting.isPresent() && !state.reservations.containsKey(key)) {
+        plannedFirst.add(key);
+        plan(waiting.get(), now);
       }
     }
   }
@@ -271,7 +276,7 @@
   }
 
   private void awaitConfirmation(Demand demand, long nowMillis) {
-    unconfirmed.add(demand);
+    unconfirmed.add(demand.key());
     reportWait(demand, WaitReason.CONFIRMATION, nowMillis);
   }
 
