A refused cancel is not logged as recorded

The line CANCELLED_UNKNOWN was written for a cancel that found no room too, which its caller was told with 429. A refused command is logged with its call only. No other behaviour changes.

--- a/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
+++ b/primrosegauge-node/src/main/java/org/primrosegauge/node/scope/ScopeEventLog.java
@@ -69,14 +69,20 @@
    * Logs the effect of a committed command on a job or on the scope. Placements and ends of runs
    * have scheduler events of their own.
    *
-   * @param result result of the command; a submission that was refused is logged as a call
+   * @param result result of the command; one that was refused is logged with the call
    * @param configuration configuration in force
    * @since 0.4
    */
   public void commandApplied(
       ScopeCommand command, ScopeResult result, ScopeConfiguration configuration) {
-    boolean isApplied = result == ScopeResult.APPLIED;
-    if (command instanceof ScopeCommand.Submit submit && isApplied) {
+    boolean isRefused =
+        result == ScopeResult.ID_IN_USE
+            || result == ScopeResult.CANCELLED
+            || result == ScopeResult.TOO_MANY_CANCELLATIONS;
+    if (isRefused) {
+      return;
+    }
+    if (command instanceof ScopeCommand.Submit submit) {
       LOG.info(
           "{} {} {} {} {} steps={}",
           field("event", "ACCEPTED"),
@@ -88,7 +94,7 @@
     } else if (command instanceof ScopeCommand.Cancel cancel) {
       LOG.info(
           "{} {}",
-          field("event", isApplied ? "CANCELLED" : "CANCELLED_UNKNOWN"),
+          field("event", result == ScopeResult.APPLIED ? "CANCELLED" : "CANCELLED_UNKNOWN"),
           field("job", cancel.job()));
     } else if (command instanceof ScopeCommand.Configure configure) {
       LOG.info(
