--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/MemoryLog.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/log/impl/MemoryLog.java
@@ -156,9 +156,9 @@
     long newBase = trailingBase(replacement.index().number(), trailingEntries, trailingBytes);
     Term newBaseTerm = termAt(newBase);
     entries.subList(0, (int) (newBase - baseIndex)).clear();
-    membershipChanges.headSet(newBase, true).clear();
     baseIndex = newBase;
     baseTerm = newBaseTerm;
+    membershipChanges.headSet(newBase, true).clear();
   }
 
   /** Returns the index before the first of the trailing entries up to an index. */
