The emulated scope: observers, other kinds of workers, lost and rejected starts

Callers keep the address of their queue and hand a job in there, with the present as the time of its submission: the time of the first attempt was repeated, which let the ledger's retention clock run ahead by 10 s with each attempt and is nothing that the leader does, which notes its own time.

--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedCallers.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedCallers.java
@@ -7,6 +7,9 @@
 import java.util.Map;
 import java.util.Set;
 import org.primrosegauge.core.JobId;
+import org.primrosegauge.core.ServiceId;
+import org.primrosegauge.core.scope.QueueName;
+import org.primrosegauge.core.scope.QueueSpec;
 import org.primrosegauge.core.scope.ScopeCommand;
 import org.primrosegauge.core.scope.ScopeJob;
 import org.primrosegauge.core.scope.StepSpec;
@@ -15,7 +18,8 @@
 /**
  * The callers of an emulated scope, and what their jobs really need.
  *
- * <p>A caller submits its job again until it is accepted.
+ * <p>A caller submits its job again until it is accepted, to the address that its queue had at the
+ * first time.
  *
  * <p>Not thread-safe; owned by one {@link EmulatedScope}.
  */
@@ -25,6 +29,7 @@
 
   private final EmulatedScope scope;
   private final Map<JobId, ScopeJob> jobs = new LinkedHashMap<>();
+  private final Map<JobId, QueueSpec> addresses = new HashMap<>();
   private final Map<JobId, List<Long>> runMillis = new HashMap<>();
   private final Set<JobId> failing = new HashSet<>();
 
@@ -53,9 +58,19 @@
    * @param runMillis how long a task of each step runs, in milliseconds
    */
   void submit(ScopeJob job, List<Long> runMillis) {
+    prepare(job, runMillis);
+    submitUntilAccepted(job);
+  }
+
+  /** Prepares a job for its submission, whose address is that of its queue now. */
+  void prepare(ScopeJob job, List<Long> runMillis) {
     jobs.put(job.id(), job);
     this.runMillis.put(job.id(), List.copyOf(runMillis));
-    submitUntilAccepted(job);
+    scope
+        .ledger
+        .configuration()
+        .queue(job.queue())
+        .ifPresent(queue -> addresses.putIfAbsent(job.id(), queue));
   }
 
   /** Makes every run of a job fail. */
@@ -65,8 +80,38 @@
 
   private void submitUntilAccepted(ScopeJob job) {
     if (scope.ledger.job(job.id()).isEmpty()) {
-      scope.leader.ask(new ScopeCommand.Submit(job));
+      hand(job);
       scope.at(scope.now + RETRY_MILLIS, () -> submitUntilAccepted(job));
     }
   }
+
+  /** Hands a job to the leader, unless the address that its caller knows leads nowhere now. */
+  void hand(ScopeJob job) {
+    QueueSpec address = addresses.get(job.id());
+    if (address == null) {
+      hand(job, job.queue(), job.pool());
+      return;
+    }
+    scope
+        .ledger
+        .configuration()
+        .queueAt(address.host(), address.pathPrefix())
+        .ifPresent(queue -> hand(job, queue.name(), queue.pool()));
+  }
+
+  /** Hands a job to the leader, which notes the present as the time of its submission. */
+  private void hand(ScopeJob job, QueueName queue, ServiceId pool) {
+    scope.leader.ask(
+        new ScopeCommand.Submit(
+            new ScopeJob(
+                job.id(),
+                queue,
+                pool,
+                job.customer(),
+                job.maxAttempts(),
+                scope.now,
+                job.payload(),
+                job.steps(),
+                job.recurrence())));
+  }
 }
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedLeader.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedLeader.java
@@ -247,6 +247,7 @@
     if (command instanceof ScopeCommand.Cancel cancel && result == ScopeResult.APPLIED) {
       scope.checker.cancelled(cancel.job());
     }
+    scope.observer.committed(command, result);
     noteFinished(command);
     if (command instanceof ScopeCommand.Place place) {
       placements += place.placements().size();
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedNetwork.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedNetwork.java
@@ -46,6 +46,12 @@
   /** Share of the orders that come seconds later, when nobody waits for their answer. */
   double lateOrders;
 
+  /** Whether starts get lost on their way. */
+  boolean losesStarts;
+
+  /** Whether the order that a worker carries out now has come seconds late. */
+  boolean isDeliveringLate;
+
   EmulatedNetwork(EmulatedScope world, Random random) {
     this.world = world;
     this.random = random;
@@ -87,6 +93,10 @@
   // Orders
 
   void deliver(ScopeAction.Start order, int sentIn) {
+    if (losesStarts) {
+      world.at(world.now + ANSWER_TIMEOUT_MILLIS, () -> startLost(order, sentIn));
+      return;
+    }
     send(
         sentIn,
         in -> answerStart(order, in),
@@ -113,13 +123,19 @@
   /** Delivers an order soon; a late one gets no answer and is carried out seconds later. */
   private void send(int sentIn, IntConsumer delivery, Runnable lost, long timeoutMillis) {
     if (random.nextDouble() < lateOrders) {
-      world.at(world.now + 2_000 + random.nextInt(10_000), () -> delivery.accept(NOBODY));
+      world.at(world.now + 2_000 + random.nextInt(10_000), () -> deliverLate(delivery));
       world.at(world.now + timeoutMillis, lost);
       return;
     }
     world.at(world.now + 1 + random.nextInt(4), () -> delivery.accept(sentIn));
   }
 
+  private void deliverLate(IntConsumer delivery) {
+    isDeliveringLate = true;
+    delivery.accept(NOBODY);
+    isDeliveringLate = false;
+  }
+
   /** Returns the worker at an address, whichever incarnation an order is meant for. */
   private EmulatedWorker reach(HostPort address) {
     EmulatedWorker worker = world.workerAt(address);
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedScope.java
@@ -69,8 +69,12 @@
   final EmulatedCallers callers = new EmulatedCallers(this);
   final EmulatedLeader leader;
   private final EmulatedHeartbeats heartbeats = new EmulatedHeartbeats(this);
+  private final Map<String, EmulatedKind> kinds = new HashMap<>();
   long now = 10_000;
 
+  /** Told of what workers and the log do, after the checker. */
+  ScopeObserver observer = new ScopeObserver() {};
+
   /** Shortest time between two passes of the planner; 0 plans after each event. */
   long planPauseMillis;
 
@@ -150,14 +154,15 @@
   // Workers
 
   private void startWorker(String name, int number) {
+    EmulatedKind kind = kinds.getOrDefault(name, new EmulatedKind(POOL, fleet.capacity(), "a"));
     WorkerInfo info =
         new WorkerInfo(
             new WorkerKey(new TargetId(name), now),
             new HostPort("10.0.0." + (number + 1), 80),
-            POOL,
+            kind.pool(),
             new FailureDomainId("d" + number % fleet.domains()),
-            fleet.capacity(),
-            List.of("a", rackOf(number)),
+            kind.capacity(),
+            List.of(kind.label(), rackOf(number)),
             rackOf(number));
     namesByAddress.put(info.address(), name);
     double rate = 0.98 + 0.02 * random.nextDouble();
@@ -192,6 +197,12 @@
     }
   }
 
+  /** Ends a worker without notice; at its place and address another kind of worker starts. */
+  void replace(String name, EmulatedKind kind, long downMillis) {
+    kinds.put(name, kind);
+    crash(name, downMillis);
+  }
+
   private boolean remove(String name) {
     EmulatedWorker worker = workers.remove(name);
     if (worker == null) {
@@ -200,7 +211,9 @@
     for (EmulatedWorker.Run run : worker.runs.values()) {
       gangs.gone(run);
       checker.gone(run, RunOutcome.WORKER_LOST);
+      observer.ended(worker, run, RunOutcome.WORKER_LOST);
     }
+    observer.endsLost(worker);
     return true;
   }
 
@@ -264,6 +277,15 @@
     }
   }
 
+  /** Lets a worker reject each start for a while, without any effect. */
+  void rejectStarts(String name, long forMillis) {
+    EmulatedWorker worker = workers.get(name);
+    if (worker != null) {
+      worker.rejectsStarts = true;
+      at(now + forMillis, () -> worker.rejectsStarts = false);
+    }
+  }
+
   void drain(String name) {
     drain(name, 3_000);
   }
--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedWorker.java
@@ -90,6 +90,7 @@
   long sequence;
   boolean stalls;
   boolean failsAll;
+  boolean rejectsStarts;
   boolean drains;
 
   /** Until when the worker stays at least once it drains. */
@@ -140,6 +141,9 @@
     if (order.run().attempt() <= barred.getOrDefault(order.run().task(), 0)) {
       return StartResult.SUPERSEDED;
     }
+    if (rejectsStarts) {
+      return StartResult.UNWELL;
+    }
     StepSpec spec = world.callers.specOf(order.run().task());
     if (guards && !used().plus(spec.task()).fitsIn(info.capacity())) {
       return StartResult.NO_ROOM;
@@ -155,6 +159,7 @@
     runs.put(order.run(), run);
     world.gangs.began(run, this);
     world.checker.began(this, run, order);
+    world.observer.began(this, run);
     return StartResult.STARTED;
   }
 
@@ -224,6 +229,7 @@
         end(run, RunOutcome.LAPSED);
       }
       world.checker.lapsed(this);
+      world.observer.endsLost(this);
     }
     for (Run run : List.copyOf(runs.values())) {
       advance(run, now, step);
@@ -277,5 +283,6 @@
     world.meter.ended(run, outcome);
     ended.add(new EndedEntry(++ends, new RunEnd(run.id, outcome, saved)));
     world.checker.ended(this, run, outcome);
+    world.observer.ended(this, run, outcome);
   }
 }
