A job that always fails puts all workers under quarantine

What callers saw: jobs waited beside idle workers (LOST) while one long-running job failed over and over; a job of which several tasks fail together took its worker from the others for 6 s.

Cause: two failed runs in a row on a worker quarantined it, also when both were of one job. A long-running job has no limit of attempts, so it went on to the workers that were left. Ruled out: reservations (the waits were reported as CAPACITY, and the trace shows WORKER_ASIDE for each worker in turn).

Now a worker is quarantined when runs of two jobs fail there without a success between, and a failure does not count where its step has failed on another worker too. As the quarantine was also what slowed a crash loop down, a long-running step whose run ends by itself within 1 s waits 200 ms (the delay that rejected starts have).

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Placer.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Placer.java
@@ -286,7 +286,7 @@
     private int rankOf(WorkerSession worker, boolean isRemote) {
       int rank = failedForStep.contains(worker.info.key()) ? STEP_FAILED : 0;
       rank += isRemote ? REMOTE : 0;
-      return rank + (worker.consecutiveFailures() > 0 ? HAS_FAILURES : 0);
+      return rank + (worker.hasFailures() ? HAS_FAILURES : 0);
     }
 
     private void take(WorkerSession worker) {
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunLifecycle.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunLifecycle.java
@@ -45,6 +45,9 @@
   /** Delay before an unanswered stop request is repeated, in milliseconds. */
   private static final long STOP_RETRY_MILLIS = 500;
 
+  /** A long-running task that ends by itself earlier than this is not started again at once. */
+  private static final long SHORT_RUN_MILLIS = 1_000;
+
   /** Least time before its deadline at which a start is tried again, in milliseconds. */
   private static final long START_MARGIN_MILLIS = 300;
 
@@ -280,6 +283,21 @@
     }
   }
 
+  /**
+   * Delays the next start of a long-running step of which a run has ended soon after its start, so
+   * that runs that end over and over do not take the time of the leader and of the log. The other
+   * ends during the delay do not prolong it.
+   */
+  void delayRestart(RunState run, long nowMillis) {
+    if (nowMillis - run.runningSinceMillis < SHORT_RUN_MILLIS) {
+      long untilMillis = nowMillis + state.settings.retryDelayMillis();
+      state.notBefore.merge(
+          run.id.task().stepKey(),
+          untilMillis,
+          (present, added) -> present > nowMillis ? present : added);
+    }
+  }
+
   /** Proposes to record that a run never started and never will. */
   void proposeNeverStarted(RunState run, ClockReading now) {
     state.notBefore.put(
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/ScopeCore.java
@@ -240,13 +240,11 @@
     if (end.outcome() == RunOutcome.DONE) {
       run.worker.recordSuccess();
     } else if (end.outcome() == RunOutcome.FAILED) {
-      state
-          .failedWorkers
-          .computeIfAbsent(run.id.task().stepKey(), step -> new HashSet<>())
-          .add(run.worker.info.key());
-      if (run.worker.recordFailure()) {
-        lifecycle.quarantine(run.worker, "consecutive runs fail", now.monotonicMillis());
-      }
+      handleFailure(run, now);
+    }
+    boolean endsByItself = end.outcome() == RunOutcome.DONE || end.outcome() == RunOutcome.FAILED;
+    if (run.spec.longRunning() && endsByItself) {
+      lifecycle.delayRestart(run, now.monotonicMillis());
     }
     if (run.spec.gang() && !run.spec.isCompletedBy(end.outcome())) {
       // A gang that has lost a member cannot continue.
@@ -254,6 +252,21 @@
     }
   }
 
+  /**
+   * Counts a failed run against its worker, unless runs of the same step have failed on another
+   * worker too: then the step is the likelier cause.
+   */
+  private void handleFailure(RunState run, ClockReading now) {
+    WorkerKey worker = run.worker.info.key();
+    Set<WorkerKey> failedWorkers =
+        state.failedWorkers.computeIfAbsent(run.id.task().stepKey(), step -> new HashSet<>());
+    failedWorkers.add(worker);
+    boolean failsElsewhere = failedWorkers.size() > 1;
+    if (!failsElsewhere && run.worker.recordFailure(run.id.task().job())) {
+      lifecycle.quarantine(run.worker, "runs of several jobs fail", now.monotonicMillis());
+    }
+  }
+
   /**
    * Stops the runs of a job unless its cancellation had no effect, as its caller may not see it.
    */
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/WorkerSession.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.primrosegauge.core.JobId;
 import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.scope.RunId;
 import org.primrosegauge.core.scope.StepKey;
@@ -20,7 +21,9 @@
  */
 public final class WorkerSession {
 
-  private static final int FAILURES_BEFORE_QUARANTINE = 2;
+  /** Number of jobs of which runs fail on a worker, before it is quarantined. */
+  private static final int JOBS_BEFORE_QUARANTINE = 2;
+
   private static final long PERCENT = 100;
 
   /** Time within which a worker answers a probe if nothing is wrong, in milliseconds. */
@@ -103,7 +106,9 @@
   long proposedEnd;
   long acknowledgedEnd;
   long quarantinedUntilMillis;
-  private int consecutiveFailures;
+
+  /** Jobs of which runs have failed here since the last success, as many as are of interest. */
+  private final Set<JobId> failedJobs = new HashSet<>();
 
   WorkerSession(WorkerInfo info, long nowMillis, long silentSinceMillis) {
     this.info = info;
@@ -238,17 +243,23 @@
         > silenceTimeoutMillis;
   }
 
-  /** Counts a failed run; returns whether the worker is to be quarantined. */
-  boolean recordFailure() {
-    consecutiveFailures++;
-    return consecutiveFailures >= FAILURES_BEFORE_QUARANTINE;
+  /**
+   * Records a failed run; returns whether the worker is to be quarantined, as runs of several jobs
+   * fail there.
+   */
+  boolean recordFailure(JobId job) {
+    if (failedJobs.size() < JOBS_BEFORE_QUARANTINE) {
+      failedJobs.add(job);
+    }
+    return failedJobs.size() >= JOBS_BEFORE_QUARANTINE;
   }
 
   void recordSuccess() {
-    consecutiveFailures = 0;
+    failedJobs.clear();
   }
 
-  int consecutiveFailures() {
-    return consecutiveFailures;
+  /** Returns whether a run has failed here since the last success. */
+  boolean hasFailures() {
+    return !failedJobs.isEmpty();
   }
 }
