Long-running tasks wait for the rack of their data beside idle workers

Cause: the wait for a local worker lasts about as long as the task would take longer elsewhere, and begins anew with each placement of the step. A long-running task does not end sooner near its data.

Now such steps take local workers first and others at once.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -341,6 +341,10 @@
   }
 
   private long localityWaitMillis(Demand demand) {
+    if (demand.spec().longRunning()) {
+      // It runs until its job is cancelled, wherever it runs.
+      return 0;
+    }
     long millis = demand.expectedMillis() * LOCALITY_WAIT_PERCENT / 100;
     if (demand.priority() == ScopeState.URGENT) {
       boolean isEnabled = state.settings.isEnabled(ScopeFeature.URGENT_LOCALITY_WAIT);
