Workers of a domain that comes back are not seen

What callers saw: tasks waited beside an idle worker after its domain was taken back, until something else happened.

Cause: FreeCapacityIndex.nextRefreshMillis took a refresh in the present millisecond for one of this pass. A pass that found the refresh not due, in the same millisecond as the last one, lost the wake-up. Ruled out: the confirmation of the worker (never probed), quarantine (no event).

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/FreeCapacityIndex.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/FreeCapacityIndex.java
@@ -85,6 +85,10 @@
   private long version;
   private int sessionCount;
   private long refreshedMillis;
+
+  /** Whether something may have changed since the latest refresh. */
+  private boolean isRefreshPostponed;
+
   private long nextQuarantineEndMillis = Long.MAX_VALUE;
 
   FreeCapacityIndex(ScopeState state) {
@@ -168,10 +172,8 @@
   /**
    * Returns the monotonic time at which the set of schedulable workers may change, in milliseconds.
    */
-  long nextRefreshMillis(long nowMillis) {
-    return refreshedMillis < nowMillis
-        ? refreshedMillis + REFRESH_INTERVAL_MILLIS
-        : nextQuarantineEndMillis;
+  long nextRefreshMillis() {
+    return isRefreshPostponed ? refreshedMillis + REFRESH_INTERVAL_MILLIS : nextQuarantineEndMillis;
   }
 
   /** Tells whether a worker may be given new runs now. */
@@ -195,6 +197,7 @@
             || sessionCount != state.sessions.size()
             || nowMillis >= nextQuarantineEndMillis
             || nowMillis >= refreshedMillis + REFRESH_INTERVAL_MILLIS;
+    isRefreshPostponed = !isDue;
     if (!isDue) {
       return;
     }
--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/Planner.java
@@ -361,7 +361,7 @@
     retryAt(headroom.nextRetryMillis(now));
     retryAt(preemptor.nextRetryMillis(nowMillis));
     retryAt(confirmations.takeNextRetryMillis());
-    retryAt(capacityIndex.nextRefreshMillis(nowMillis));
+    retryAt(capacityIndex.nextRefreshMillis());
     state.examined(state.notBefore.size() + state.reservations.size());
     state.notBefore.values().removeIf(time -> time <= nowMillis);
     for (Reservation reservation : state.reservations.values()) {
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/LastingPlacementTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/LastingPlacementTest.java
@@ -32,4 +32,23 @@
     world.run(2_000);
     assertThat(running(world)).isEqualTo(WORKERS);
   }
+
+  /**
+   * A domain came back in the millisecond of another change: its workers were not seen until
+   * something else happened.
+   */
+  @Test
+  void tasksThatWaitAreStartedOnWorkersOfDomainThatComesBack() {
+    EmulatedScope world = new EmulatedScope(5, WORKERS, true);
+    world.run(2_000);
+    world.switchDomain("d2", true);
+    world.run(100);
+    world.submit("job", 1, "first", List.of(lasting().build()), ENDLESS_MILLIS);
+    world.run(10_000);
+    assertThat(running(world)).isEqualTo(WORKERS * 2 / 3);
+    world.switchDomain("d1", false);
+    world.switchDomain("d2", false);
+    world.run(2_000);
+    assertThat(running(world)).isEqualTo(WORKERS);
+  }
 }
