Starts are repeated on workers that drain by then

Cause: RunLifecycle.isStartWanted asked for time, the ledger and a requested stop, not for the drain, the domain and the state of the job, which were examined once, when the placement was applied.

Now each further try, and each start that waited for room, asks the same as the first. An unanswered one is then stopped, as after its last try.

--- a/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunLifecycle.java
+++ b/primrosegauge-core/src/main/java/org/primrosegauge/core/scope/impl/RunLifecycle.java
@@ -250,7 +250,7 @@
   private boolean isStartWanted(RunState run, ClockReading now) {
     boolean hasTime =
         run.worker.clockAt(now.monotonicMillis()) + START_MARGIN_MILLIS < run.startDeadline;
-    return hasTime && !run.endProposed && !run.stopRequested && state.ledger.isOpen(run.id);
+    return hasTime && !run.endProposed && !isUnwanted(run) && state.ledger.isOpen(run.id);
   }
 
   private static String capacityDetail(WorkerSession worker) {
