--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeStateMachineTest.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/ScopeStateMachineTest.java
@@ -13,14 +13,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.ShrinkingMode;
-import org.primrosegauge.core.HostPort;
-import org.primrosegauge.core.ServiceId;
-import org.primrosegauge.core.TargetId;
 import org.primrosegauge.core.job.Resources;
 import org.primrosegauge.core.scope.StepSpec;
-import org.primrosegauge.core.scope.WorkerHeartbeat;
-import org.primrosegauge.core.scope.WorkerInfo;
-import org.primrosegauge.core.scope.WorkerKey;
 
 /** Random events over the real ledger and scheduler; the world checks what must hold. */
 class ScopeStateMachineTest {
@@ -42,7 +36,8 @@
   @Property(tries = 60, seed = "20261207", shrinking = ShrinkingMode.OFF)
   void keepsItsPromisesBesideHeartbeatsOfAnotherWriter(@ForAll("seeds") long seed) {
     Random random = new Random(~seed);
-    keepsItsPromises(seed, world -> hearForeign(world, random));
+    keepsItsPromises(
+        seed, world -> ForeignHeartbeats.hear(world, "w" + random.nextInt(WORKERS), random));
   }
 
   private static void keepsItsPromises(long seed, Consumer<EmulatedScope> disturbance) {
@@ -70,31 +65,6 @@
     }
   }
 
-  private static void hearForeign(EmulatedScope world, Random random) {
-    EmulatedWorker imitated = world.workers.get("w" + random.nextInt(WORKERS));
-    if (imitated == null) {
-      return;
-    }
-    WorkerInfo own = imitated.info;
-    TargetId target = random.nextBoolean() ? own.key().target() : new TargetId("x-77");
-    long born = own.key().bornMillis() + random.nextInt(3) - 1;
-    HostPort address = random.nextBoolean() ? own.address() : new HostPort("10.9.9.9", 80);
-    ServiceId pool = random.nextBoolean() ? own.pool() : new ServiceId("unknown");
-    WorkerInfo info =
-        new WorkerInfo(
-            new WorkerKey(target, born),
-            address,
-            pool,
-            own.domain(),
-            own.capacity(),
-            own.labels(),
-            own.rack());
-    if (!info.equals(own)) {
-      world.hear(
-          new WorkerHeartbeat(info, random.nextInt(1_000), random.nextBoolean(), 0, world.now));
-    }
-  }
-
   private static void act(EmulatedScope world, Random random, List<String> ids) {
     String worker = "w" + random.nextInt(WORKERS);
     switch (random.nextInt(20)) {
