Search: the pace of planning and of the network is drawn too

The emulated scope planned after each event and answered within 4 ms, so responses rarely came apart from the pass that had asked for them. Now each world draws the shortest time between two passes (0 to 75 ms) and the slowest way of an order (4 to 64 ms).

--- a/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedNetwork.java
+++ b/primrosegauge-standin/src/main/java/org/primrosegauge/standin/scope/EmulatedNetwork.java
@@ -46,6 +46,9 @@
   /** Share of the orders that come seconds later, when nobody waits for their answer. */
   double lateOrders;
 
+  /** Longest time that an order or an answer takes on its way, in milliseconds. */
+  int slowestMillis = 4;
+
   /** Whether starts get lost on their way. */
   boolean losesStarts;
 
@@ -127,7 +130,7 @@
       world.at(world.now + timeoutMillis, lost);
       return;
     }
-    world.at(world.now + 1 + random.nextInt(4), () -> delivery.accept(sentIn));
+    world.at(world.now + 1 + random.nextInt(slowestMillis), () -> delivery.accept(sentIn));
   }
 
   private void deliverLate(IntConsumer delivery) {
@@ -159,7 +162,7 @@
   }
 
   private long answerTime() {
-    return world.now + 1 + random.nextInt(4);
+    return world.now + 1 + random.nextInt(slowestMillis);
   }
 
   private void startLost(ScopeAction.Start order, int sentIn) {
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/SearchJudge.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/SearchJudge.java
@@ -88,9 +88,11 @@
         cancelledMillis.putIfAbsent(cancel.job(), now());
       }
     } else if (command instanceof ScopeCommand.SwitchDrain drain) {
-      if (drain.isDraining()) {
+      EmulatedWorker worker = world.scope.workers.get(drain.worker().target().value());
+      boolean isOwn = worker != null && worker.info.key().equals(drain.worker()) && worker.drains;
+      if (drain.isDraining() && isOwn) {
         drainMillis.putIfAbsent(drain.worker(), now());
-      } else {
+      } else if (!drain.isDraining()) {
         drainMillis.remove(drain.worker());
       }
     } else if (command instanceof ScopeCommand.SwitchDomain domain && domain.isOut()) {
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/SearchWorld.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/SearchWorld.java
@@ -67,6 +67,9 @@
   SearchWorld(long seed) {
     scope = new EmulatedScope(seed, WORKERS, true);
     scope.isCalm = false;
+    Random pace = new Random(~seed);
+    scope.planPauseMillis = pace.nextInt(4) * 25;
+    scope.network.slowestMillis = 4 + pace.nextInt(3) * 30;
     queues.addAll(scope.ledger.configuration().queues());
     queues.forEach(this::noteService);
     judge = new SearchJudge(this);
