--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/SearchKind.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/SearchKind.java
@@ -39,7 +39,7 @@
       1, (world, draw) -> world.scope.network.refuse(worker(draw), 300 + draw.nextInt(9_000))),
   REJECT_STARTS(
       2, (world, draw) -> world.scope.rejectStarts(worker(draw), 300 + draw.nextInt(9_000))),
-  FAIL_ALL(1, (world, draw) -> world.failAll(worker(draw), 300 + draw.nextInt(4_000))),
+  FAIL_ALL(1, (world, draw) -> world.scope.failAll(worker(draw), 300 + draw.nextInt(4_000))),
   STALL(1, (world, draw) -> world.scope.stall(worker(draw), 300 + draw.nextInt(9_000))),
   SLOW_DOWN(1, SearchKind::slowWorkerDown),
   DRAIN(2, (world, draw) -> world.scope.drain(worker(draw), 2_000 + draw.nextInt(6_000))),
--- a/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/SearchWorld.java
+++ b/primrosegauge-standin/src/test/java/org/primrosegauge/standin/scope/SearchWorld.java
@@ -39,8 +39,11 @@
   private static final long LONG_MILLIS = 10_000_000;
   private static final long SECOND = 1_000;
 
+  /** One of this many jobs fails whenever it runs. */
+  private static final int FAILING_SHARE = 15;
+
   /** A job as its caller has submitted it, with the address of its queue. */
-  record Submitted(ScopeJob job, List<Long> workMillis, String prefix, boolean fails) {}
+  record Submitted(ScopeJob job, String prefix) {}
 
   final EmulatedScope scope;
   final SearchJudge judge;
@@ -61,15 +64,10 @@
   /** Time of the latest trouble of the leader, in milliseconds. */
   long leaderTroubleMillis;
 
-  /** Time until which a worker may let tasks fail, in milliseconds. */
-  long failingUntilMillis;
-
   SearchWorld(long seed) {
     scope = new EmulatedScope(seed, WORKERS, true);
     scope.isCalm = false;
-    Random pace = new Random(~seed);
-    scope.planPauseMillis = pace.nextInt(4) * 25;
-    scope.network.slowestMillis = 4 + pace.nextInt(3) * 30;
+    drawPace(new Random(~seed));
     queues.addAll(scope.ledger.configuration().queues());
     queues.forEach(this::noteService);
     judge = new SearchJudge(this);
@@ -80,6 +78,12 @@
     scope.run(START_MILLIS);
   }
 
+  /** Draws how often the leader plans, and how slow the network is. */
+  private void drawPace(Random draw) {
+    scope.planPauseMillis = draw.nextInt(4) * 25;
+    scope.network.slowestMillis = 4 + draw.nextInt(3) * 30;
+  }
+
   // Callers
 
   void submit(Random draw) {
@@ -164,11 +168,10 @@
             "payload job" + submitted.size(),
             steps,
             times);
-    boolean fails = draw.nextInt(15) == 0;
-    if (fails) {
+    if (draw.nextInt(FAILING_SHARE) == 0) {
       scope.poison(job.id().value());
     }
-    submitted.put(job.id(), new Submitted(job, work, queue.pathPrefix(), fails));
+    submitted.put(job.id(), new Submitted(job, queue.pathPrefix()));
     scope.submit(job, work);
   }
 
@@ -202,7 +205,7 @@
             "payload " + id,
             List.of(step),
             Recurrence.NONE);
-    submitted.putIfAbsent(job.id(), new Submitted(job, List.of(SECOND), queue.pathPrefix(), false));
+    submitted.putIfAbsent(job.id(), new Submitted(job, queue.pathPrefix()));
     scope.callers.prepare(job, List.of(SECOND));
     cancelJob(job);
     scope.at(scope.now + draw.nextInt(4_000), () -> scope.submit(job, List.of(SECOND)));
@@ -325,11 +328,6 @@
     scope.loseLeader(forMillis);
   }
 
-  void failAll(String worker, long forMillis) {
-    failingUntilMillis = Math.max(failingUntilMillis, scope.now + forMillis);
-    scope.failAll(worker, forMillis);
-  }
-
   void loseAnswers(Random draw) {
     scope.network.lostAnswers = draw.nextInt(20) / 100.0;
     scope.at(scope.now + draw.nextInt(6_000), () -> scope.network.lostAnswers = 0);
